--- /dev/null
+++ b/crates/railhub-adapter/src/conf.rs
@@ -0,0 +1,68 @@
+//! Decodes the settings of a `CREATE` that the module reads.
+use crate::fields::Line;
+use railhub::{ClassTerms, Gauge, Repeat, Terms};
+
+pub struct Names {
+    pub classes: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+pub fn decode(line: &Line) -> Result<(Terms, Names), String> {
+    let list = |field: &str| -> Result<Vec<String>, String> {
+        let text = line.text(field)?;
+        Ok(text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect())
+    };
+    let mut classes = Vec::new();
+    let mut names = Names { classes: Vec::new(), zones: list("zones")? };
+    for k in 0..line.get::<usize>("request_classes.count")?.min(255) {
+        let field = |tail: &str| format!("request_classes.{k}.{tail}");
+        names.classes.push(line.text(&field("name"))?.to_owned());
+        classes.push(ClassTerms {
+            contract_time: line.seconds(&field("aim_us"))?,
+            gain: line.amount(&field("worth"))?,
+            repeat: match line.text(&field("effect"))? {
+                "repeatable" => Repeat::Safe,
+                "by_key" if line.text(&field("group"))? == "all" => {
+                    Repeat::KeyedEverywhere(line.seconds(&field("key_ttl_us"))?)
+                }
+                "by_key" => Repeat::KeyedNearby,
+                "once" => Repeat::Never,
+                other => return Err(line.wrong(&field("effect"), format!("cannot be '{other}'"))),
+            },
+        });
+    }
+    let gauges = match line.maybe("telemetry.names") {
+        Some(_) => list("telemetry.names")?.iter().map(|name| gauge(name)).collect(),
+        None => Vec::new(),
+    };
+    let terms = Terms {
+        seed: line.get("seed")?,
+        classes,
+        slices: line.get("family_info.key_ranges")?,
+        exclusive: line.flag("family_info.exclusive")?,
+        gauges,
+        may_probe: line.flag("ceilings.probes")?,
+        levels_by_share: line.text("family_info.throttle_by")? == "share",
+        cold_from: line.amount("rules.cold_from")?,
+        warm_within: line.seconds("rules.warm_within_us")?,
+        fall_multiple: line.amount("rules.fall_multiple")?,
+        backlog: line.amount("family_info.backlog")?,
+        push_rate: line.amount("family_info.push_rate")?,
+        envelope: line.amount("family_info.envelope")?,
+        update_cap: line.get("family_info.update_cap")?,
+        update_span: line.seconds("family_info.messages_over_us")?,
+        first_wait: line.amount("family_info.first_wait")?,
+    };
+    Ok((terms, names))
+}
+
+fn gauge(name: &str) -> Gauge {
+    match name {
+        "rif" => Gauge::InHand,
+        "q" => Gauge::Waiting,
+        "busy" => Gauge::Busy,
+        "lat_ms" => Gauge::ServiceMs,
+        "rate" => Gauge::PerSecond,
+        _ => Gauge::Unknown,
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,180 @@
+//! What passes between a steward and the program around it: ids, the terms it starts with, what a
+//! round brings, and the writer that takes its decisions. Times are seconds with fractions.
+use std::net::SocketAddr;
+
+pub type Seconds = f64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostId(pub SocketAddr);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProxyId(pub u16);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SliceId(pub u16);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u16);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClassId(pub u8);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerId(pub u64);
+
+/// Whether an operation may run again, and where a repeat is recognised.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Safe,
+    /// Every host drops a repeat for so long.
+    KeyedEverywhere(Seconds),
+    /// Only the hosts of one zone or cell drop a repeat.
+    KeyedNearby,
+    Never,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClassTerms {
+    pub contract_time: Seconds,
+    pub gain: f64,
+    pub repeat: Repeat,
+}
+
+/// What a load report's value stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gauge {
+    InHand,
+    Waiting,
+    Busy,
+    ServiceMs,
+    PerSecond,
+    Unknown,
+}
+
+/// What a steward knows when it starts.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub seed: u64,
+    pub classes: Vec<ClassTerms>,
+    /// 0: operations are not cut into slices; the steward lays out tables of its own.
+    pub slices: u16,
+    /// A slice's table has one line, its owner.
+    pub exclusive: bool,
+    pub gauges: Vec<Gauge>,
+    pub may_probe: bool,
+    pub levels_by_share: bool,
+    /// Least share of its capacity a host starts with, and the longest it takes to be warm.
+    pub cold_from: f64,
+    pub warm_within: Seconds,
+    pub fall_multiple: f64,
+    /// Lines that may wait in the channel, lines it sends in a second, lines a message costs on top.
+    pub backlog: f64,
+    pub push_rate: f64,
+    pub envelope: f64,
+    /// Messages to one proxy within a span; 0: no such limit.
+    pub update_cap: u32,
+    pub update_span: Seconds,
+    /// Before a try that may be followed is given up: times the contract time.
+    pub first_wait: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub host: HostId,
+    pub phase: Phase,
+    /// When it last started; `None`: long ago.
+    pub started: Option<Seconds>,
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct HostList {
+    /// The whole list, so that what it lacks is gone; else only what changed.
+    pub whole: bool,
+    pub entries: Vec<Listed>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct StreamChange {
+    pub proxy: ProxyId,
+    pub up: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Charge {
+    pub slice: SliceId,
+    pub given: bool,
+    pub lines: Vec<(HostId, f64)>,
+}
+
+/// What the proxies of a zone met at a host.
+#[derive(Clone, Debug)]
+pub struct TrySum {
+    pub zone: ZoneId,
+    pub host: HostId,
+    pub tries: f64,
+    pub failed: f64,
+    /// Mean time of the good ones; 0 if there were none.
+    pub mean_time: Seconds,
+    pub span: Seconds,
+    pub report: Vec<f64>,
+}
+
+/// Operations of a class that came for a slice.
+#[derive(Clone, Copy, Debug)]
+pub struct DemandSum {
+    pub slice: SliceId,
+    pub class: ClassId,
+    pub operations: f64,
+    pub span: Seconds,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeEnd {
+    Answered,
+    TurnedAway,
+    Failed,
+    Unreachable,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct ProbeResult {
+    pub host: HostId,
+    pub end: ProbeEnd,
+}
+
+/// All that came in since the last round.
+#[derive(Clone, Debug, Default)]
+pub struct Round {
+    pub now: Seconds,
+    pub lists: Vec<HostList>,
+    pub streams: Vec<StreamChange>,
+    pub charges: Vec<Charge>,
+    pub tries: Vec<TrySum>,
+    pub demand: Vec<DemandSum>,
+    pub probes: Vec<ProbeResult>,
+    pub timers: Vec<TimerId>,
+}
+
+/// When proxies try an operation again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SecondTry {
+    Never,
+    IfNeverRan,
+    AfterFailure,
+}
+
+/// Takes a steward's decisions, in order, as they are made.
+pub trait Orders {
+    /// Sets one line of a slice's table; weight 0 removes it.
+    fn set_line(&mut self, slice: SliceId, host: HostId, weight: f64);
+    /// Puts a proxy on a table, where there are no slices.
+    fn hand_table(&mut self, table: SliceId, proxy: ProxyId);
+    /// Sets the share of a class let in by all proxies, and its way of trying again.
+    fn set_level(&mut self, class: ClassId, share: f64, second_try: SecondTry);
+    fn probe(&mut self, host: HostId);
+    fn wake(&mut self, after: Seconds, timer: TimerId);
+    fn note(&mut self, text: &str);
+}
