--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,11 +1,725 @@
-//! All of a steward's decisions. Call [`Steward::new`], then [`Steward::round`]; see `interface`.
+//! All of a steward's decisions. Make a `Steward` from its `Terms`, then call `Steward::round` with all that
+//! came in; decisions go straight into the `Orders` passed along. Both are defined in `interface`.
+//! A round takes in the news. Once a second it is also a turn, which judges hosts and moves slices.
+//! List news and health verdicts act at once. What changed leaves as one delta at the end.
 use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub struct Steward {}
+#[cfg(test)]
+mod tests;
+
+/// Seconds between turns, and the design's epoch.
+const EPOCH: Seconds = 1.0;
+/// Failures over tries that count as heavy degradation; the paper's figure.
+const RATIO_THRESH: f64 = 0.1;
+/// Seconds without failure that take a score from 100 to 1; the design's start.
+const MIN_TTR: Seconds = 20.0;
+/// Seconds of scores a host is judged on: short, since a day's troubles last tens of seconds.
+const WINDOW: Seconds = 5.0;
+/// Share of the windowed scores below the representative one; the paper's figure.
+const PERCENTILE: f64 = 0.3;
+/// Points an outlier stands above the next; the design's start.
+const GAP: f64 = 30.0;
+/// Score at which a withdrawn host is trusted with slices again: it has shown some good seconds.
+const RETURN_SCORE: f64 = 60.0;
+/// Slices that return to a host in one turn: a few, so that a relapse costs little.
+const RETURNS_PER_TURN: usize = 2;
+/// Seconds over which demand and times are averaged: some tens of operations a host.
+const MEMORY: Seconds = 4.0;
+/// Seconds over which a host's speed is averaged: longer, as machines change less than demand.
+const SPEED_MEMORY: Seconds = 6.0;
+/// Times the middle latency at which a host lags.
+const LAG: f64 = 1.25;
+/// Turns a host lags before a slice leaves it: rides out one noisy report.
+const LAG_TURNS: u32 = 2;
+/// Share of the lag a move must take away to be worth cold keys.
+const WORTH_MOVING: f64 = 0.1;
+/// Moves in one turn: latencies are stale by a report, so only a few at a time.
+const MOVES_PER_TURN: usize = 3;
+/// Seconds a moved slice stays put: until reports show the effect.
+const REST: Seconds = 6.0;
+/// Moves a slice may make in one day on average, the daily cap on latency-led moves.
+const MOVES_A_DAY: f64 = 5000.0;
+const DAY: Seconds = 86_400.0;
+/// Times its usual work that a slice costs a host that has not met its keys.
+const COLD_KEYS: f64 = 1.5;
+/// Share of a host's capacity an heir may be filled to before the next on the hash is asked.
+const FULL: f64 = 0.75;
+/// Share of its present capacity that a cold host is given: far under the multiple that fells it.
+const COLD_FILL: f64 = 0.6;
+/// Past this utilisation the latency curve goes on as a straight line, to stay finite.
+const STEEP: f64 = 0.95;
+/// Probes without answer that count as proof, when the process can't be reached or when it is silent.
+const SILENT_PROBES: u32 = 3;
+const UNREACHED_PROBES: u32 = 2;
+/// Answered probes that end the verdict.
+const ANSWERED_PROBES: u32 = 2;
+/// Failures over tries that are nearly total.
+const NEARLY_ALL: f64 = 0.9;
+/// Utilisation under which a silent host can't be excused by its load.
+const EXCUSED: f64 = 0.8;
+/// Share of the listed hosts that may be judged down: if most fail, the fault is elsewhere.
+const MOST_DOWN: f64 = 0.5;
+/// Utilisation of all hosts together at which levels begin to fall.
+const OVERLOAD: f64 = 0.95;
+/// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
+const LEVEL_FALL: f64 = 0.15;
+const LEVEL_RISE: f64 = 0.05;
+/// Messages of the allowance kept back for urgent deltas.
+const URGENT_MESSAGES: usize = 6;
+/// Share of its usual pace the channel is trusted to drain at: it may be several times slower.
+const SLOW_CHANNEL: f64 = 0.125;
+/// Share of the backlog limit that is used.
+const BACKLOG_USE: f64 = 0.7;
+
+/// A decaying sum, brought up to date when it is read.
+#[derive(Clone, Copy, Default)]
+struct Sum {
+    value: f64,
+    at: Seconds,
+}
+
+impl Sum {
+    fn read(&self, now: Seconds, memory: Seconds) -> f64 {
+        self.value * (-(now - self.at).max(0.0) / memory).exp()
+    }
+    fn add(&mut self, now: Seconds, amount: f64, memory: Seconds) {
+        *self = Sum { value: self.read(now, memory) + amount, at: now };
+    }
+}
+
+/// The design's AIMD score of a host as one zone's proxies see it.
+struct Pair {
+    score: f64,
+    tries: f64,
+    failed: f64,
+    span: Seconds,
+    window: VecDeque<(Seconds, f64)>,
+}
+
+impl Pair {
+    fn new() -> Pair {
+        Pair { score: 1.0, tries: 0.0, failed: 0.0, span: 0.0, window: VecDeque::new() }
+    }
+
+    /// One epoch. Without a report there is no evidence; a report over several epochs counts for each.
+    fn epoch(&mut self, now: Seconds, withdrawn: bool) {
+        if withdrawn {
+            self.score = additive(self.score, 1.0);
+        } else if self.tries > 0.0 {
+            self.score = next_score(self.score, self.tries, self.failed, (self.span / EPOCH).max(1.0));
+        }
+        if withdrawn || self.tries > 0.0 {
+            self.window.push_back((now, self.score));
+        }
+        (self.tries, self.failed, self.span) = (0.0, 0.0, 0.0);
+        while self.window.front().is_some_and(|(at, _)| *at < now - WINDOW) {
+            self.window.pop_front();
+        }
+    }
+}
+
+fn additive(score: f64, epochs: f64) -> f64 {
+    (score - 100.0 * EPOCH * epochs / MIN_TTR).clamp(1.0, 100.0)
+}
+
+fn next_score(prev: f64, tries: f64, failed: f64, epochs: f64) -> f64 {
+    if failed <= 0.0 {
+        return additive(prev, epochs);
+    }
+    let near_thresh = (failed / tries).min(RATIO_THRESH) / RATIO_THRESH;
+    (prev * (1.0 + near_thresh).powf(epochs)).clamp(1.0, 100.0)
+}
+
+fn percentile(mut scores: Vec<f64>) -> f64 {
+    scores.sort_by(f64::total_cmp);
+    let place = (scores.len() as f64 * PERCENTILE) as usize;
+    scores.get(place).copied().unwrap_or(1.0)
+}
+
+/// The one host whose score stands a gap above all others.
+fn outlier(scores: &[(HostId, f64)]) -> Option<HostId> {
+    let top = scores.iter().max_by(|a, b| a.1.total_cmp(&b.1))?;
+    let next = scores.iter().filter(|s| s.0 != top.0).map(|s| s.1).fold(1.0, f64::max);
+    (scores.len() > 1 && top.1 - next >= GAP).then_some(top.0)
+}
+
+struct Host {
+    phase: Phase,
+    weight: f64,
+    /// When it began to warm up: its last start, or the end of a silence.
+    cold_since: Option<Seconds>,
+    pairs: BTreeMap<ZoneId, Pair>,
+    good: Sum,
+    failed: Sum,
+    time: Sum,
+    service: Sum,
+    service_weight: Sum,
+    silent: u32,
+    unreached: u32,
+    answered: u32,
+    down: bool,
+    lag_turns: u32,
+}
+
+impl Host {
+    fn new(listed: &Listed) -> Host {
+        Host {
+            phase: listed.phase,
+            weight: listed.weight,
+            cold_since: listed.started,
+            pairs: BTreeMap::new(),
+            good: Sum::default(),
+            failed: Sum::default(),
+            time: Sum::default(),
+            service: Sum::default(),
+            service_weight: Sum::default(),
+            silent: 0,
+            unreached: 0,
+            answered: 0,
+            down: false,
+            lag_turns: 0,
+        }
+    }
+
+    fn usable(&self) -> bool {
+        self.phase == Phase::Ready && !self.down
+    }
+
+    /// What it can do now, as a share of what it can do warm.
+    fn warmth(&self, now: Seconds, terms: &Terms) -> f64 {
+        let Some(since) = self.cold_since else { return 1.0 };
+        let grown = (now - since).max(0.0) / terms.warm_within.max(EPOCH);
+        (terms.cold_from + (1.0 - terms.cold_from) * grown).clamp(0.01, 1.0)
+    }
+
+    /// Time one operation holds a core, without waiting.
+    fn service_time(&self, now: Seconds) -> Option<Seconds> {
+        let weight = self.service_weight.read(now, SPEED_MEMORY);
+        (weight > 0.5).then(|| self.service.read(now, SPEED_MEMORY) / weight)
+    }
+
+    /// Takes the wait out of the mean time: with u operations in hand a unit of size, time over service
+    /// time is close to sqrt(1 + u^2) for machines of a few cores.
+    fn learn_speed(&mut self, now: Seconds) {
+        let good = self.good.read(now, MEMORY);
+        if good < 2.0 {
+            return;
+        }
+        let mean_time = self.time.read(now, MEMORY) / good;
+        let in_hand = good / MEMORY * mean_time / self.weight.max(0.01);
+        let service = mean_time / in_hand.hypot(1.0);
+        self.service.add(now, service * good, SPEED_MEMORY);
+        self.service_weight.add(now, good, SPEED_MEMORY);
+    }
+}
+
+struct Slice {
+    owner: Option<HostId>,
+    /// The host it was taken from and goes back to.
+    home: Option<HostId>,
+    written: Vec<(HostId, f64)>,
+    demand: Vec<Sum>,
+    rests_until: Seconds,
+}
+
+/// What a turn goes by: each usable host's demand, speed and present capacity.
+#[derive(Clone, Copy)]
+struct Load {
+    demand: f64,
+    service: Seconds,
+    capacity: f64,
+    cold: bool,
+}
+
+impl Load {
+    fn utilisation(&self, more: f64) -> f64 {
+        (self.demand + more).max(0.0) * self.service / self.capacity
+    }
+    /// Expected latency with so much more demand.
+    fn latency(&self, more: f64) -> Seconds {
+        let busy = self.utilisation(more);
+        let steep = 1.0 / (1.0 - STEEP * STEEP).sqrt();
+        let stretch = if busy < STEEP {
+            1.0 / (1.0 - busy * busy).sqrt()
+        } else {
+            steep * (1.0 + 10.0 * (busy - STEEP))
+        };
+        self.service * stretch
+    }
+    fn holds(&self, more: f64) -> bool {
+        self.utilisation(more) <= if self.cold { COLD_FILL } else { FULL }
+    }
+}
+
+pub struct Steward {
+    terms: Terms,
+    started: Option<Seconds>,
+    hosts: BTreeMap<HostId, Host>,
+    slices: BTreeMap<SliceId, Slice>,
+    proxies: BTreeSet<ProxyId>,
+    withdrawn: Option<HostId>,
+    levels: Vec<f64>,
+    moves: f64,
+    moves_at: Seconds,
+    sent: VecDeque<Seconds>,
+    backlog: f64,
+    backlog_at: Seconds,
+}
 
 impl Steward {
-    pub fn new(_terms: Terms) -> Steward {
-        Steward {}
+    pub fn new(terms: Terms) -> Steward {
+        Steward {
+            started: None,
+            hosts: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            proxies: BTreeSet::new(),
+            withdrawn: None,
+            levels: vec![1.0; terms.classes.len()],
+            moves: f64::from(terms.slices),
+            moves_at: 0.0,
+            sent: VecDeque::new(),
+            backlog: 0.0,
+            backlog_at: 0.0,
+            terms,
+        }
+    }
+
+    pub fn round(&mut self, round: &Round, orders: &mut impl Orders) {
+        let now = round.now;
+        let turn = self.started.is_none() || !round.timers.is_empty();
+        self.started.get_or_insert(now);
+        round.lists.iter().for_each(|list| self.hear_list(list));
+        round.charges.iter().for_each(|charge| self.take_charge(charge));
+        round.tries.iter().for_each(|sum| self.hear_tries(now, sum));
+        round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
+        let verdict =
+            round.probes.iter().fold(false, |any, probe| self.hear_probe(now, probe, orders) || any);
+        for change in &round.streams {
+            if change.up {
+                self.proxies.insert(change.proxy)
+            } else {
+                self.proxies.remove(&change.proxy)
+            };
+        }
+        let urgent = verdicts > 0 || !round.lists.is_empty() || !round.charges.is_empty();
+        if self.terms.slices == 0 {
+            self.one_table(now, round, orders);
+        } else if turn || urgent {
+            let mut loads = self.loads(now);
+            self.hand_over(now, &mut loads, orders);
+            if turn {
+                self.judge(now, orders);
+                self.hand_over(now, &mut loads, orders);
+                self.take_back(now, &mut loads);
+                self.follow_latency(now, &mut loads);
+                self.set_levels(now, &loads, orders);
+            }
+            self.flush(now, urgent, orders);
+        }
+        if turn {
+            if self.terms.may_probe {
+                let open = self.hosts.iter().filter(|(_, host)| host.phase == Phase::Ready);
+                open.for_each(|(id, _)| orders.probe(*id));
+            }
+            orders.wake(EPOCH, TimerId(0));
+        }
+    }
+
+    fn hear_list(&mut self, list: &HostList) {
+        if list.whole {
+            let kept: BTreeSet<HostId> = list.entries.iter().map(|entry| entry.host).collect();
+            for (_, host) in self.hosts.iter_mut().filter(|(id, _)| !kept.contains(id)) {
+                host.phase = Phase::Gone;
+            }
+        }
+        for entry in &list.entries {
+            let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(entry));
+            (host.phase, host.weight) = (entry.phase, entry.weight);
+            if entry.started > host.cold_since {
+                host.cold_since = entry.started;
+            }
+        }
+    }
+
+    fn take_charge(&mut self, charge: &Charge) {
+        self.slices.remove(&charge.slice);
+        if charge.given {
+            let top = charge.lines.iter().max_by(|a, b| a.1.total_cmp(&b.1));
+            let slice = Slice {
+                owner: top.map(|line| line.0),
+                home: None,
+                written: charge.lines.clone(),
+                demand: vec![Sum::default(); self.terms.classes.len()],
+                rests_until: 0.0,
+            };
+            self.slices.insert(charge.slice, slice);
+        }
+    }
+
+    fn hear_tries(&mut self, now: Seconds, sum: &TrySum) {
+        let Some(host) = self.hosts.get_mut(&sum.host) else { return };
+        let good = (sum.tries - sum.failed).max(0.0);
+        host.good.add(now, good, MEMORY);
+        host.failed.add(now, sum.failed, MEMORY);
+        host.time.add(now, good * sum.mean_time, MEMORY);
+        let pair = host.pairs.entry(sum.zone).or_insert_with(Pair::new);
+        pair.tries += sum.tries;
+        pair.failed += sum.failed;
+        pair.span += sum.span;
+    }
+
+    fn hear_demand(&mut self, now: Seconds, sum: &DemandSum) {
+        if let Some(slice) = self.slices.get_mut(&sum.slice) {
+            if let Some(demand) = slice.demand.get_mut(usize::from(sum.class.0)) {
+                demand.add(now, sum.operations, MEMORY);
+            }
+        }
+    }
+
+    /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't reach,
+    /// or that is silent while its load is no excuse, counts as gone. Tells whether a verdict changed.
+    fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
+        let listed = self.hosts.values().filter(|host| host.phase == Phase::Ready).count();
+        let down = self.hosts.values().filter(|host| host.down && host.phase == Phase::Ready).count();
+        let load = self.loads(now).get(&probe.host).copied();
+        let Some(host) = self.hosts.get_mut(&probe.host) else { return false };
+        match probe.end {
+            ProbeEnd::TurnedAway => return false,
+            ProbeEnd::Answered => (host.silent, host.unreached, host.answered) = (0, 0, host.answered + 1),
+            ProbeEnd::Failed => (host.silent, host.answered) = (host.silent + 1, 0),
+            ProbeEnd::Unreachable => (host.unreached, host.answered) = (host.unreached + 1, 0),
+        }
+        if host.down {
+            host.down = host.answered < ANSWERED_PROBES;
+            if !host.down {
+                host.cold_since = Some(now);
+                orders.note(&format!("host {} answers again", probe.host.0));
+            }
+            return !host.down;
+        }
+        if host.unreached > 0 && host.unreached < UNREACHED_PROBES {
+            orders.probe(probe.host);
+        }
+        let (good, failed) = (host.good.read(now, 1.0), host.failed.read(now, 1.0));
+        let failing = failed > 1.0 && failed >= NEARLY_ALL * (good + failed);
+        let no_excuse = failing || load.is_some_and(|load| load.utilisation(0.0) < EXCUSED);
+        host.down = host.unreached >= UNREACHED_PROBES || (host.silent >= SILENT_PROBES && no_excuse);
+        host.down &= (down + 1) as f64 <= MOST_DOWN * listed as f64;
+        if host.down {
+            orders.note(&format!("host {} is down: probes fail", probe.host.0));
+        }
+        host.down
+    }
+
+    fn rate(&self, now: Seconds, slice: &Slice) -> f64 {
+        let known = (now - self.started.unwrap_or(now)).max(EPOCH);
+        let span = MEMORY * (1.0 - (-known / MEMORY).exp());
+        let admitted =
+            slice.demand.iter().zip(&self.levels).map(|(sum, level)| sum.read(now, MEMORY) * level);
+        admitted.sum::<f64>() / span
+    }
+
+    fn loads(&self, now: Seconds) -> BTreeMap<HostId, Load> {
+        let mut known: Vec<f64> = self.hosts.values().filter_map(|host| host.service_time(now)).collect();
+        known.sort_by(f64::total_cmp);
+        let middle = known.get(known.len() / 2).copied().unwrap_or(0.01);
+        let usable = self.hosts.iter().filter(|(_, host)| host.usable());
+        let mut loads: BTreeMap<HostId, Load> = usable
+            .map(|(id, host)| {
+                let warmth = host.warmth(now, &self.terms);
+                let service = host.service_time(now).unwrap_or(middle);
+                (
+                    *id,
+                    Load {
+                        demand: 0.0,
+                        service,
+                        capacity: host.weight.max(0.01) * warmth,
+                        cold: warmth < 1.0,
+                    },
+                )
+            })
+            .collect();
+        for slice in self.slices.values() {
+            if let Some(load) = slice.owner.and_then(|owner| loads.get_mut(&owner)) {
+                load.demand += self.rate(now, slice);
+            }
+        }
+        loads
+    }
+
+    /// The next on the hash that has room; if none has, the one with the lowest expected latency.
+    fn heir(&self, id: SliceId, more: f64, loads: &BTreeMap<HostId, Load>) -> Option<HostId> {
+        let open = || loads.iter().filter(|(host, _)| Some(**host) != self.withdrawn);
+        let on_hash = |host: &HostId| rendezvous(id, *host, self.hosts[host].weight);
+        let roomy = open().filter(|(_, load)| load.holds(more * COLD_KEYS));
+        let next = roomy.max_by(|a, b| on_hash(a.0).total_cmp(&on_hash(b.0)));
+        let fast = || open().min_by(|a, b| a.1.latency(more).total_cmp(&b.1.latency(more)));
+        next.or_else(fast).map(|(host, _)| *host)
+    }
+
+    fn move_to(&mut self, now: Seconds, id: SliceId, to: Option<HostId>, loads: &mut BTreeMap<HostId, Load>) {
+        let more = self.rate(now, &self.slices[&id]);
+        let Some(slice) = self.slices.get_mut(&id) else { return };
+        if let Some(load) = slice.owner.and_then(|owner| loads.get_mut(&owner)) {
+            load.demand -= more;
+        }
+        if let Some(load) = to.and_then(|host| loads.get_mut(&host)) {
+            load.demand += more;
+        }
+        slice.owner = to;
+        slice.rests_until = now + REST;
+    }
+
+    /// Slices of a host, the hottest first.
+    fn slices_of(&self, now: Seconds, host: HostId) -> Vec<SliceId> {
+        let mut found: Vec<(f64, SliceId)> =
+            (self.slices.iter().filter(|(_, slice)| slice.owner == Some(host)))
+                .map(|(id, slice)| (self.rate(now, slice), *id))
+                .collect();
+        found.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        found.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Every slice whose host drains, is gone, down or withdrawn gets an heir, and a cold host hands over its
+    /// hottest slices until the rest fits what it can do.
+    fn hand_over(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>, orders: &mut impl Orders) {
+        let mut moved = 0;
+        let homeless: Vec<SliceId> = (self.slices.iter())
+            .filter(|(_, s)| s.owner.is_none_or(|o| !loads.contains_key(&o) || Some(o) == self.withdrawn))
+            .map(|(id, _)| *id)
+            .collect();
+        let mut cold = Vec::new();
+        for (host, load) in loads.iter().filter(|(_, load)| load.cold && !load.holds(0.0)) {
+            let mut left = *load;
+            for id in self.slices_of(now, *host) {
+                if !left.holds(0.0) {
+                    left.demand -= self.rate(now, &self.slices[&id]);
+                    cold.push(id);
+                }
+            }
+        }
+        for id in homeless.into_iter().chain(cold) {
+            let slice = &self.slices[&id];
+            let owner = slice.owner;
+            let heir = self.heir(id, self.rate(now, slice), loads);
+            let listed = |host: &HostId| self.hosts.get(host).is_some_and(|host| host.phase == Phase::Ready);
+            let heir = heir.or(owner.filter(listed)).or(self.hosts.keys().copied().find(listed));
+            if heir != owner {
+                self.move_to(now, id, heir, loads);
+                let slice = self.slices.get_mut(&id).expect("known above");
+                slice.home = slice.home.or(owner);
+                moved += 1;
+            }
+        }
+        if moved > 0 {
+            orders.note(&format!("{moved} slices handed over"));
+        }
+    }
+
+    /// The design's epoch: scores, the outlier test, and at most one host withdrawn.
+    fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
+        let mut scores = Vec::new();
+        for (id, host) in &mut self.hosts {
+            host.learn_speed(now);
+            let withdrawn = self.withdrawn == Some(*id);
+            host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
+            if host.usable() {
+                let window = host.pairs.values().flat_map(|pair| pair.window.iter().map(|(_, score)| *score));
+                scores.push((*id, percentile(window.collect())));
+            }
+        }
+        if let Some(host) = self.withdrawn {
+            let worst = self.hosts[&host].pairs.values().map(|pair| pair.score).fold(1.0, f64::max);
+            if worst <= RETURN_SCORE || !self.hosts[&host].usable() {
+                self.withdrawn = None;
+                orders.note(&format!("withdrawal of {} ends", host.0));
+            }
+        } else if let Some(host) = outlier(&scores) {
+            self.withdrawn = Some(host);
+            orders.note(&format!("host {} is the outlier: withdrawn", host.0));
+        }
+    }
+
+    /// Slices go back a few per turn, where they will be served faster than now.
+    fn take_back(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>) {
+        let mut taken: BTreeMap<HostId, usize> = BTreeMap::new();
+        let away: Vec<(SliceId, HostId)> =
+            self.slices.iter().filter_map(|(id, slice)| Some((*id, slice.home?))).collect();
+        for (id, home) in away {
+            let slice = &self.slices[&id];
+            let more = self.rate(now, slice);
+            let Some(load) = loads.get(&home).filter(|_| self.withdrawn != Some(home)) else { continue };
+            let here =
+                slice.owner.and_then(|owner| loads.get(&owner)).map_or(f64::INFINITY, |l| l.latency(0.0));
+            let count = taken.entry(home).or_default();
+            if *count < RETURNS_PER_TURN && now >= slice.rests_until && load.holds(more * COLD_KEYS) {
+                if load.latency(more * COLD_KEYS) < here {
+                    *count += 1;
+                    self.move_to(now, id, Some(home), loads);
+                }
+                if !loads[&home].cold || slice_at(&self.slices, id) == Some(home) {
+                    self.slices.get_mut(&id).expect("listed above").home = None;
+                }
+            }
+        }
+    }
+
+    /// The design's placement: the hottest slice of a host that lags for several turns goes to the host with
+    /// the lowest latency; a cooler one if that would only carry the lag along.
+    fn follow_latency(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>) {
+        let full = f64::from(self.terms.slices);
+        self.moves = (self.moves + (now - self.moves_at) * MOVES_A_DAY * full / DAY).min(full);
+        self.moves_at = now;
+        let mut latencies: Vec<f64> = loads.values().map(|load| load.latency(0.0)).collect();
+        latencies.sort_by(f64::total_cmp);
+        let Some(middle) = latencies.get(latencies.len() / 2).copied() else { return };
+        let mut lagging = Vec::new();
+        for (id, load) in loads.iter() {
+            let host = self.hosts.get_mut(id).expect("loads are of known hosts");
+            host.lag_turns = if load.latency(0.0) > LAG * middle { host.lag_turns + 1 } else { 0 };
+            if host.lag_turns >= LAG_TURNS {
+                lagging.push((load.latency(0.0), *id));
+            }
+        }
+        lagging.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (latency, from) in lagging.into_iter().take(MOVES_PER_TURN) {
+            for id in self.slices_of(now, from) {
+                let slice = &self.slices[&id];
+                let more = self.rate(now, slice);
+                if now < slice.rests_until || self.moves < 1.0 {
+                    continue;
+                }
+                let others =
+                    loads.iter().filter(|(host, _)| **host != from && Some(**host) != self.withdrawn);
+                let open = others.filter(|(_, load)| !load.cold || load.holds(more * COLD_KEYS));
+                let after = |load: &Load| load.latency(more * COLD_KEYS);
+                let best = open.min_by(|a, b| after(a.1).total_cmp(&after(b.1)));
+                let Some((to, load)) = best else { continue };
+                let worst = after(load).max(loads[&from].latency(-more));
+                if worst < latency * (1.0 - WORTH_MOVING) {
+                    let to = *to;
+                    self.moves -= 1.0;
+                    self.move_to(now, id, Some(to), loads);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Under overload, the class with the least gain per work is let in less, as far as is needed.
+    fn set_levels(&mut self, now: Seconds, loads: &BTreeMap<HostId, Load>, orders: &mut impl Orders) {
+        if !self.terms.levels_by_share {
+            return;
+        }
+        let capacity: f64 = loads.values().map(|load| load.capacity / load.service).sum();
+        let offered =
+            |k: usize| self.slices.values().map(|s| s.demand[k].read(now, MEMORY) / MEMORY).sum::<f64>();
+        let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
+        let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
+        order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
+        let mut room = capacity * OVERLOAD;
+        for k in order {
+            let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
+            room = (room - offered(k)).max(0.0);
+            let level =
+                wanted.clamp(self.levels[k] - LEVEL_FALL, self.levels[k] + LEVEL_RISE).clamp(0.0, 1.0);
+            if (level - self.levels[k]).abs() > 0.02 || (level == 1.0 && self.levels[k] < 1.0) {
+                self.levels[k] = level;
+                orders.set_level(ClassId(k as u8), level, SecondTry::IfNeverRan);
+            }
+        }
+    }
+
+    /// Writes what differs from the standing tables, within the message allowance and the backlog.
+    fn flush(&mut self, now: Seconds, urgent: bool, orders: &mut impl Orders) {
+        while self.sent.front().is_some_and(|at| *at < now - self.terms.update_span) {
+            self.sent.pop_front();
+        }
+        let cap = if self.terms.update_cap == 0 { usize::MAX } else { self.terms.update_cap as usize };
+        let kept = if urgent { 1 } else { URGENT_MESSAGES };
+        if self.sent.len() + kept >= cap {
+            return;
+        }
+        let drained = (now - self.backlog_at) * self.terms.push_rate * SLOW_CHANNEL;
+        (self.backlog, self.backlog_at) = ((self.backlog - drained).max(0.0), now);
+        let proxies = self.proxies.len().max(1) as f64;
+        let before = self.backlog;
+        self.backlog += proxies * self.terms.envelope;
+        let mut lines = 0;
+        for (id, slice) in &mut self.slices {
+            let wanted: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
+            if wanted == slice.written {
+                continue;
+            }
+            let old: Vec<_> = slice.written.iter().filter(|w| !wanted.iter().any(|l| l.0 == w.0)).collect();
+            let new: Vec<_> = wanted.iter().filter(|line| !slice.written.contains(line)).collect();
+            let cost = proxies * (old.len() + new.len()) as f64;
+            if self.backlog + cost > self.terms.backlog * BACKLOG_USE {
+                break;
+            }
+            self.backlog += cost;
+            lines += 1;
+            new.into_iter().for_each(|line| orders.set_line(*id, line.0, line.1));
+            if !self.terms.exclusive {
+                old.into_iter().for_each(|line| orders.set_line(*id, line.0, 0.0));
+            }
+            slice.written = wanted;
+        }
+        if lines > 0 {
+            self.sent.push_back(now);
+        } else {
+            self.backlog = before;
+        }
+    }
+
+    /// Without slices: one table of all usable hosts, handed to each proxy that joins.
+    fn one_table(&mut self, now: Seconds, round: &Round, orders: &mut impl Orders) {
+        let table = SliceId(0);
+        let mut wanted: Vec<(HostId, f64)> = (self.hosts.iter().filter(|(_, host)| host.usable()))
+            .map(|(id, host)| {
+                (*id, (host.weight.max(0.01) * host.warmth(now, &self.terms) * 10.0).ceil() / 10.0)
+            })
+            .collect();
+        let listed = self.hosts.iter().filter(|(_, host)| host.phase == Phase::Ready);
+        if wanted.is_empty() {
+            wanted = listed.map(|(id, host)| (*id, host.weight.max(0.01))).collect();
+        }
+        let classes = self.terms.classes.len();
+        let slice = self.slices.entry(table).or_insert_with(|| Slice {
+            owner: None,
+            home: None,
+            written: Vec::new(),
+            demand: vec![Sum::default(); classes],
+            rests_until: 0.0,
+        });
+        let new = wanted.iter().filter(|line| !slice.written.contains(line));
+        new.for_each(|line| orders.set_line(table, line.0, line.1));
+        let old = slice.written.iter().filter(|line| !wanted.iter().any(|l| l.0 == line.0));
+        old.for_each(|line| orders.set_line(table, line.0, 0.0));
+        slice.written = wanted;
+        let joined = round.streams.iter().filter(|change| change.up && self.proxies.contains(&change.proxy));
+        joined.for_each(|change| orders.hand_table(table, change.proxy));
+    }
+}
+
+fn slice_at(slices: &BTreeMap<SliceId, Slice>, id: SliceId) -> Option<HostId> {
+    slices.get(&id).and_then(|slice| slice.owner)
+}
+
+/// Weighted rendezvous hash: fixed, so that every steward and every restart agrees.
+fn rendezvous(slice: SliceId, host: HostId, weight: f64) -> f64 {
+    let address = match host.0.ip() {
+        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        std::net::IpAddr::V6(ip) => u128::from(ip) as u64,
+    };
+    let mut bits = address ^ (u64::from(host.0.port()) << 32) ^ (u64::from(slice.0) << 48);
+    for _ in 0..2 {
+        bits = bits.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^= bits >> 31;
     }
-    pub fn round(&mut self, _round: &Round, _orders: &mut impl Orders) {}
+    let unit = ((bits >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight.max(0.01) / unit.ln()
 }
