--- a/src/brain.rs
+++ b/src/brain.rs
@@ -260,6 +260,7 @@
     proxies: BTreeSet<ProxyId>,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
+    levels_written: Vec<f64>,
     moves: f64,
     moves_at: Seconds,
     sent: VecDeque<Seconds>,
@@ -276,6 +277,7 @@
             proxies: BTreeSet::new(),
             withdrawn: None,
             levels: vec![1.0; terms.classes.len()],
+            levels_written: vec![1.0; terms.classes.len()],
             moves: f64::from(terms.slices),
             moves_at: 0.0,
             sent: VecDeque::new(),
@@ -313,7 +315,7 @@
                 self.hand_over(now, &mut loads, orders);
                 self.take_back(now, &mut loads);
                 self.follow_latency(now, &mut loads);
-                self.set_levels(now, &loads, orders);
+                self.set_levels(now, &loads);
             }
             self.flush(now, urgent, orders);
         }
@@ -608,7 +610,7 @@
     }
 
     /// Under overload, the class with the least gain per work is let in less, as far as is needed.
-    fn set_levels(&mut self, now: Seconds, loads: &BTreeMap<HostId, Load>, orders: &mut impl Orders) {
+    fn set_levels(&mut self, now: Seconds, loads: &BTreeMap<HostId, Load>) {
         if !self.terms.levels_by_share {
             return;
         }
@@ -626,7 +628,6 @@
                 wanted.clamp(self.levels[k] - LEVEL_FALL, self.levels[k] + LEVEL_RISE).clamp(0.0, 1.0);
             if (level - self.levels[k]).abs() > 0.02 || (level == 1.0 && self.levels[k] < 1.0) {
                 self.levels[k] = level;
-                orders.set_level(ClassId(k as u8), level, SecondTry::IfNeverRan);
             }
         }
     }
@@ -645,8 +646,14 @@
         (self.backlog, self.backlog_at) = ((self.backlog - drained).max(0.0), now);
         let proxies = self.proxies.len().max(1) as f64;
         let before = self.backlog;
-        self.backlog += proxies * self.terms.envelope;
+        self.backlog += proxies * (self.terms.envelope + self.levels.len() as f64);
         let mut lines = 0;
+        for k in (0..self.levels.len()).filter(|k| self.levels[*k] != self.levels_written[*k]) {
+            lines += 1;
+            self.backlog += proxies;
+            orders.set_level(ClassId(k as u8), self.levels[k], SecondTry::IfNeverRan);
+        }
+        self.levels_written.clone_from(&self.levels);
         for (id, slice) in &mut self.slices {
             let wanted: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
             if wanted == slice.written {
