Speed from utilisation and completions; silent probes need silent sums

Saturated hosts timed out deep probes and were called down, which emptied them onto the rest (incidents of all three). A silent host now also has no completed operation in any sum. Core time comes from the busy share over completions, so failures count as load.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,10 +54,8 @@
 const UNREACHED_PROBES: u32 = 2;
 /// Answered probes that end the verdict.
 const ANSWERED_PROBES: u32 = 2;
-/// Failures over tries that are nearly total.
-const NEARLY_ALL: f64 = 0.9;
-/// Utilisation under which a silent host can't be excused by its load.
-const EXCUSED: f64 = 0.8;
+/// Seconds without a completed operation in any sum that go with silent probes: longer than a report's gap.
+const SILENT_SUMS: Seconds = 2.0;
 /// Share of the listed hosts that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
@@ -155,6 +153,9 @@
     time: Sum,
     service: Sum,
     service_weight: Sum,
+    in_hand: f64,
+    busy: Option<f64>,
+    last_good: Seconds,
     silent: u32,
     unreached: u32,
     answered: u32,
@@ -174,6 +175,9 @@
             time: Sum::default(),
             service: Sum::default(),
             service_weight: Sum::default(),
+            in_hand: 0.0,
+            busy: None,
+            last_good: 0.0,
             silent: 0,
             unreached: 0,
             answered: 0,
@@ -199,18 +203,35 @@
         (weight > 0.5).then(|| self.service.read(now, SPEED_MEMORY) / weight)
     }
 
-    /// Takes the wait out of the mean time: with u operations in hand a unit of size, time over service
-    /// time is close to sqrt(1 + u^2) for machines of a few cores.
-    fn learn_speed(&mut self, now: Seconds) {
+    /// Core time of an operation, from how full the host is and what it completes. With u operations in hand
+    /// a unit of size, utilisation is close to u / sqrt(1 + u^2) for machines of a few cores.
+    fn learn_speed(&mut self, now: Seconds, contract_time: Seconds) {
         let good = self.good.read(now, MEMORY);
-        if good < 2.0 {
+        let failed = self.failed.read(now, MEMORY);
+        if good + failed < 2.0 {
             return;
         }
-        let mean_time = self.time.read(now, MEMORY) / good;
-        let in_hand = good / MEMORY * mean_time / self.weight.max(0.01);
-        let service = mean_time / in_hand.hypot(1.0);
-        self.service.add(now, service * good, SPEED_MEMORY);
-        self.service_weight.add(now, good, SPEED_MEMORY);
+        let size = self.weight.max(0.01);
+        let in_hand = (self.time.read(now, MEMORY) + failed * contract_time) / MEMORY;
+        let in_hand = in_hand.max(self.in_hand) / size;
+        let busy = self.busy.unwrap_or(in_hand / in_hand.hypot(1.0));
+        let service = (busy * size * MEMORY / good.max(0.5)).min(contract_time);
+        self.service.add(now, service * (good + failed), SPEED_MEMORY);
+        self.service_weight.add(now, good + failed, SPEED_MEMORY);
+    }
+
+    /// Takes a load report, each value by its meaning, as operations in hand or as a busy share.
+    fn hear_report(&mut self, gauges: &[Gauge], report: &[f64]) {
+        if report.len() != gauges.len() {
+            return;
+        }
+        for (gauge, value) in gauges.iter().zip(report) {
+            match gauge {
+                Gauge::InHand | Gauge::Waiting => self.in_hand = *value,
+                Gauge::Busy => self.busy = Some(value.clamp(0.01, 1.0)),
+                Gauge::ServiceMs | Gauge::PerSecond | Gauge::Unknown => {}
+            }
+        }
     }
 }
 
@@ -295,8 +316,7 @@
         round.charges.iter().for_each(|charge| self.take_charge(charge));
         round.tries.iter().for_each(|sum| self.hear_tries(now, sum));
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
-        let verdict =
-            round.probes.iter().fold(false, |any, probe| self.hear_probe(now, probe, orders) || any);
+        let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
         for change in &round.streams {
             if change.up {
                 self.proxies.insert(change.proxy)
@@ -365,6 +385,10 @@
         host.good.add(now, good, MEMORY);
         host.failed.add(now, sum.failed, MEMORY);
         host.time.add(now, good * sum.mean_time, MEMORY);
+        if good > 0.0 {
+            host.last_good = now;
+        }
+        host.hear_report(&self.terms.gauges, &sum.report);
         let pair = host.pairs.entry(sum.zone).or_insert_with(Pair::new);
         pair.tries += sum.tries;
         pair.failed += sum.failed;
@@ -384,7 +408,6 @@
     fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
         let listed = self.hosts.values().filter(|host| host.phase == Phase::Ready).count();
         let down = self.hosts.values().filter(|host| host.down && host.phase == Phase::Ready).count();
-        let load = self.loads(now).get(&probe.host).copied();
         let Some(host) = self.hosts.get_mut(&probe.host) else { return false };
         match probe.end {
             ProbeEnd::TurnedAway => return false,
@@ -403,10 +426,8 @@
         if host.unreached > 0 && host.unreached < UNREACHED_PROBES {
             orders.probe(probe.host);
         }
-        let (good, failed) = (host.good.read(now, 1.0), host.failed.read(now, 1.0));
-        let failing = failed > 1.0 && failed >= NEARLY_ALL * (good + failed);
-        let no_excuse = failing || load.is_some_and(|load| load.utilisation(0.0) < EXCUSED);
-        host.down = host.unreached >= UNREACHED_PROBES || (host.silent >= SILENT_PROBES && no_excuse);
+        let silent = host.silent >= SILENT_PROBES && now - host.last_good > SILENT_SUMS;
+        host.down = silent || host.unreached >= UNREACHED_PROBES;
         host.down &= (down + 1) as f64 <= MOST_DOWN * listed as f64;
         if host.down {
             orders.note(&format!("host {} is down: probes fail", probe.host.0));
@@ -522,8 +543,11 @@
     /// The design's epoch: scores, the outlier test, and at most one host withdrawn.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
+        let classes = &self.terms.classes;
+        let contract_time =
+            classes.iter().map(|c| c.contract_time).sum::<f64>() / classes.len().max(1) as f64;
         for (id, host) in &mut self.hosts {
-            host.learn_speed(now);
+            host.learn_speed(now, contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
             if host.usable() {
