--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,16 +12,16 @@
 const EPOCH: Seconds = 1.0;
 /// Failures over tries that count as heavy degradation; the paper's figure.
 const RATIO_THRESH: f64 = 0.1;
-/// Seconds without failure that take a score from 100 to 1; the design's start.
-const MIN_TTR: Seconds = 20.0;
+/// Seconds without failure that take a score from 100 to 1: shorter than the start, as troubles last 10 to 30.
+const MIN_TTR: Seconds = 12.0;
 /// Seconds of scores a host is judged on: short, since a day's troubles last tens of seconds.
 const WINDOW: Seconds = 5.0;
 /// Share of the windowed scores below the representative one; the paper's figure.
 const PERCENTILE: f64 = 0.3;
 /// Points an outlier stands above the next; the design's start.
 const GAP: f64 = 30.0;
-/// Score at which a withdrawn host is trusted with slices again: it has shown some good seconds.
-const RETURN_SCORE: f64 = 60.0;
+/// Score at which a withdrawn host is trusted again: under the gap, or it would be the outlier again at once.
+const RETURN_SCORE: f64 = 25.0;
 /// Slices that return to a host in one turn: a few, so that a relapse costs little.
 const RETURNS_PER_TURN: usize = 2;
 /// Seconds over which demand and times are averaged: some tens of operations a host.
