--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,7 +35,7 @@
 /// Share of the lag a move must take away to be worth cold keys.
 const WORTH_MOVING: f64 = 0.1;
 /// Moves in one turn: latencies are stale by a report, so only a few at a time.
-const MOVES_PER_TURN: usize = 3;
+const MOVES_PER_TURN: usize = 6;
 /// Seconds a moved slice stays put: until reports show the effect.
 const REST: Seconds = 6.0;
 /// Moves a slice may make in one day on average, the daily cap on latency-led moves.
