--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,9 @@
 const FULL: f64 = 0.75;
 /// Share of its present capacity that a cold host is given: far under the multiple that fells it.
 const COLD_FILL: f64 = 0.6;
+/// Share of its present capacity past which a cold host hands slices over again: well under the multiple,
+/// as its work is misjudged by half at times, and above the fill, so that slices do not go to and fro.
+const COLD_SHED: f64 = 1.1;
 /// Past this utilisation the latency curve goes on as a straight line, to stay finite.
 const STEEP: f64 = 0.95;
 /// Probes without answer that count as proof, when the process can't be reached or when it is silent.
@@ -204,14 +207,14 @@
     }
 
     /// Core time of an operation, from how full the host is and what it completes. With u operations in hand
-    /// a unit of size, utilisation is close to u / sqrt(1 + u^2) for machines of a few cores.
-    fn learn_speed(&mut self, now: Seconds, contract_time: Seconds) {
+    /// a unit of present size, utilisation is close to u / sqrt(1 + u^2) for machines of a few cores.
+    fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
         let good = self.good.read(now, MEMORY);
         let failed = self.failed.read(now, MEMORY);
         if good + failed < 2.0 {
             return;
         }
-        let size = self.weight.max(0.01);
+        let size = self.weight.max(0.01) * warmth;
         let in_hand = (self.time.read(now, MEMORY) + failed * contract_time) / MEMORY;
         let in_hand = in_hand.max(self.in_hand) / size;
         let busy = self.busy.unwrap_or(in_hand / in_hand.hypot(1.0));
@@ -513,7 +516,7 @@
             .map(|(id, _)| *id)
             .collect();
         let mut cold = Vec::new();
-        for (host, load) in loads.iter().filter(|(_, load)| load.cold && !load.holds(0.0)) {
+        for (host, load) in loads.iter().filter(|(_, load)| load.cold && load.utilisation(0.0) > COLD_SHED) {
             let mut left = *load;
             for id in self.slices_of(now, *host) {
                 if !left.holds(0.0) {
@@ -547,7 +550,7 @@
         let contract_time =
             classes.iter().map(|c| c.contract_time).sum::<f64>() / classes.len().max(1) as f64;
         for (id, host) in &mut self.hosts {
-            host.learn_speed(now, contract_time);
+            host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
             if host.usable() {
