Rates over the time that the sums cover

Speeds began several times too slow and took ten seconds to mend, as short sums were divided by the full memory.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -208,17 +208,17 @@
 
     /// Core time of an operation, from how full the host is and what it completes. With u operations in hand
     /// a unit of present size, utilisation is close to u / sqrt(1 + u^2) for machines of a few cores.
-    fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
+    fn learn_speed(&mut self, now: Seconds, heard: Seconds, warmth: f64, contract_time: Seconds) {
         let good = self.good.read(now, MEMORY);
         let failed = self.failed.read(now, MEMORY);
         if good + failed < 2.0 {
             return;
         }
         let size = self.weight.max(0.01) * warmth;
-        let in_hand = (self.time.read(now, MEMORY) + failed * contract_time) / MEMORY;
+        let in_hand = (self.time.read(now, MEMORY) + failed * contract_time) / heard;
         let in_hand = in_hand.max(self.in_hand) / size;
         let busy = self.busy.unwrap_or(in_hand / in_hand.hypot(1.0));
-        let service = (busy * size * MEMORY / good.max(0.5)).min(contract_time);
+        let service = (busy * size * heard / good.max(0.5)).min(contract_time);
         self.service.add(now, service * (good + failed), SPEED_MEMORY);
         self.service_weight.add(now, good + failed, SPEED_MEMORY);
     }
@@ -287,6 +287,9 @@
     levels_written: Vec<f64>,
     moves: f64,
     moves_at: Seconds,
+    /// Seconds that the sums heard so far cover, decaying like them: a sum over this is a rate.
+    heard: Sum,
+    heard_at: Option<Seconds>,
     sent: VecDeque<Seconds>,
     backlog: f64,
     backlog_at: Seconds,
@@ -304,6 +307,8 @@
             levels_written: vec![1.0; terms.classes.len()],
             moves: f64::from(terms.slices),
             moves_at: 0.0,
+            heard: Sum::default(),
+            heard_at: None,
             sent: VecDeque::new(),
             backlog: 0.0,
             backlog_at: 0.0,
@@ -317,6 +322,11 @@
         self.started.get_or_insert(now);
         round.lists.iter().for_each(|list| self.hear_list(list));
         round.charges.iter().for_each(|charge| self.take_charge(charge));
+        let spans = round.tries.iter().map(|sum| sum.span).chain(round.demand.iter().map(|sum| sum.span));
+        if let Some(span) = spans.reduce(f64::max) {
+            self.heard.add(now, self.heard_at.map_or(span, |at| now - at), MEMORY);
+            self.heard_at = Some(now);
+        }
         round.tries.iter().for_each(|sum| self.hear_tries(now, sum));
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
         let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
@@ -439,11 +449,9 @@
     }
 
     fn rate(&self, now: Seconds, slice: &Slice) -> f64 {
-        let known = (now - self.started.unwrap_or(now)).max(EPOCH);
-        let span = MEMORY * (1.0 - (-known / MEMORY).exp());
         let admitted =
             slice.demand.iter().zip(&self.levels).map(|(sum, level)| sum.read(now, MEMORY) * level);
-        admitted.sum::<f64>() / span
+        admitted.sum::<f64>() / self.heard.read(now, MEMORY).max(0.01)
     }
 
     fn loads(&self, now: Seconds) -> BTreeMap<HostId, Load> {
@@ -546,11 +554,12 @@
     /// The design's epoch: scores, the outlier test, and at most one host withdrawn.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
+        let heard = self.heard.read(now, MEMORY).max(0.01);
         let classes = &self.terms.classes;
         let contract_time =
             classes.iter().map(|c| c.contract_time).sum::<f64>() / classes.len().max(1) as f64;
         for (id, host) in &mut self.hosts {
-            host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
+            host.learn_speed(now, heard, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
             if host.usable() {
@@ -642,8 +651,9 @@
             return;
         }
         let capacity: f64 = loads.values().map(|load| load.capacity / load.service).sum();
+        let heard = self.heard.read(now, MEMORY).max(0.01);
         let offered =
-            |k: usize| self.slices.values().map(|s| s.demand[k].read(now, MEMORY) / MEMORY).sum::<f64>();
+            |k: usize| self.slices.values().map(|s| s.demand[k].read(now, MEMORY) / heard).sum::<f64>();
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
