Cold hosts take only what they can hold, also when nothing else is left

A cold host's speed is no longer taken below the fleet's middle, an heir without room is never cold, and while every listed host is cold the rest of the slices stay empty.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,10 +46,13 @@
 /// Share of a host's capacity an heir may be filled to before the next on the hash is asked.
 const FULL: f64 = 0.75;
 /// Share of its present capacity that a cold host is given: far under the multiple that fells it.
-const COLD_FILL: f64 = 0.6;
+const COLD_FILL: f64 = 0.5;
 /// Share of its present capacity past which a cold host hands slices over again: well under the multiple,
 /// as its work is misjudged by half at times, and above the fill, so that slices do not go to and fro.
-const COLD_SHED: f64 = 1.1;
+const COLD_SHED: f64 = 0.8;
+/// Times its present demand for which a host's latency is expected: demand swings, and a fast host that is
+/// nearly full is only fast until then.
+const SWING: f64 = 1.3;
 /// Past this utilisation the latency curve goes on as a straight line, to stay finite.
 const STEEP: f64 = 0.95;
 /// Probes without answer that count as proof, when the process can't be reached or when it is silent.
@@ -150,6 +153,7 @@
     weight: f64,
     /// When it began to warm up: its last start, or the end of a silence.
     cold_since: Option<Seconds>,
+    started: Option<Seconds>,
     pairs: BTreeMap<ZoneId, Pair>,
     good: Sum,
     failed: Sum,
@@ -172,6 +176,7 @@
             phase: listed.phase,
             weight: listed.weight,
             cold_since: listed.started,
+            started: listed.started,
             pairs: BTreeMap::new(),
             good: Sum::default(),
             failed: Sum::default(),
@@ -193,6 +198,10 @@
         self.phase == Phase::Ready && !self.down
     }
 
+    fn listed_warm(&self, now: Seconds, terms: &Terms) -> bool {
+        self.phase == Phase::Ready && self.started.is_none_or(|at| now - at >= terms.warm_within)
+    }
+
     /// What it can do now, as a share of what it can do warm.
     fn warmth(&self, now: Seconds, terms: &Terms) -> f64 {
         let Some(since) = self.cold_since else { return 1.0 };
@@ -260,9 +269,9 @@
     fn utilisation(&self, more: f64) -> f64 {
         (self.demand + more).max(0.0) * self.service / self.capacity
     }
-    /// Expected latency with so much more demand.
+    /// Expected latency with so much more demand, should it swing up.
     fn latency(&self, more: f64) -> Seconds {
-        let busy = self.utilisation(more);
+        let busy = SWING * self.utilisation(more);
         let steep = 1.0 / (1.0 - STEEP * STEEP).sqrt();
         let stretch = if busy < STEEP {
             1.0 / (1.0 - busy * busy).sqrt()
@@ -371,6 +380,7 @@
         for entry in &list.entries {
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(entry));
             (host.phase, host.weight) = (entry.phase, entry.weight);
+            host.started = entry.started;
             if entry.started > host.cold_since {
                 host.cold_since = entry.started;
             }
@@ -424,19 +434,24 @@
         let Some(host) = self.hosts.get_mut(&probe.host) else { return false };
         match probe.end {
             ProbeEnd::TurnedAway => return false,
-            ProbeEnd::Answered => (host.silent, host.unreached, host.answered) = (0, 0, host.answered + 1),
+            ProbeEnd::Answered => (host.silent, host.answered) = (0, host.answered + 1),
             ProbeEnd::Failed => (host.silent, host.answered) = (host.silent + 1, 0),
             ProbeEnd::Unreachable => (host.unreached, host.answered) = (host.unreached + 1, 0),
         }
         if host.down {
             host.down = host.answered < ANSWERED_PROBES;
             if !host.down {
-                host.cold_since = Some(now);
+                if host.unreached > 0 {
+                    host.cold_since = Some(now);
+                }
+                host.unreached = 0;
                 orders.note(&format!("host {} answers again", probe.host.0));
             }
             return !host.down;
         }
-        if host.unreached > 0 && host.unreached < UNREACHED_PROBES {
+        if probe.end == ProbeEnd::Answered {
+            host.unreached = 0;
+        } else if host.unreached > 0 && host.unreached < UNREACHED_PROBES {
             orders.probe(probe.host);
         }
         let silent = host.silent >= SILENT_PROBES && now - host.last_good > SILENT_SUMS;
@@ -462,7 +477,9 @@
         let mut loads: BTreeMap<HostId, Load> = usable
             .map(|(id, host)| {
                 let warmth = host.warmth(now, &self.terms);
-                let service = host.service_time(now).unwrap_or(middle);
+                let known = host.service_time(now).unwrap_or(middle);
+                // A host that has just started has met no keys, and its first reports flatter it.
+                let service = if warmth < 1.0 { known.max(middle) } else { known };
                 (
                     *id,
                     Load {
@@ -482,13 +499,15 @@
         loads
     }
 
-    /// The next on the hash that has room; if none has, the one with the lowest expected latency.
+    /// The next on the hash that has room; if none has, the one with the lowest expected latency, but
+    /// no cold one: in a great loss what is left over would push it over.
     fn heir(&self, id: SliceId, more: f64, loads: &BTreeMap<HostId, Load>) -> Option<HostId> {
         let open = || loads.iter().filter(|(host, _)| Some(**host) != self.withdrawn);
         let on_hash = |host: &HostId| rendezvous(id, *host, self.hosts[host].weight);
         let roomy = open().filter(|(_, load)| load.holds(more * COLD_KEYS));
         let next = roomy.max_by(|a, b| on_hash(a.0).total_cmp(&on_hash(b.0)));
-        let fast = || open().min_by(|a, b| a.1.latency(more).total_cmp(&b.1.latency(more)));
+        let warm = open().filter(|(_, load)| !load.cold);
+        let fast = || warm.min_by(|a, b| a.1.latency(more).total_cmp(&b.1.latency(more)));
         next.or_else(fast).map(|(host, _)| *host)
     }
 
@@ -537,8 +556,10 @@
             let slice = &self.slices[&id];
             let owner = slice.owner;
             let heir = self.heir(id, self.rate(now, slice), loads);
-            let listed = |host: &HostId| self.hosts.get(host).is_some_and(|host| host.phase == Phase::Ready);
-            let heir = heir.or(owner.filter(listed)).or(self.hosts.keys().copied().find(listed));
+            // A table may be empty only while every listed host is cold: what they can't hold is refused.
+            let proven =
+                |host: &HostId| self.hosts.get(host).is_some_and(|h| h.listed_warm(now, &self.terms));
+            let heir = heir.or(owner.filter(proven)).or_else(|| self.hosts.keys().copied().find(proven));
             if heir != owner {
                 self.move_to(now, id, heir, loads);
                 let slice = self.slices.get_mut(&id).expect("known above");
