--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -5,6 +5,7 @@
 pub struct Names {
     pub classes: Vec<String>,
     pub zones: Vec<String>,
+    pub kinds: Vec<String>,
 }
 
 pub fn decode(line: &Line) -> Result<(Terms, Names), String> {
@@ -13,7 +14,7 @@
         Ok(text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect())
     };
     let mut classes = Vec::new();
-    let mut names = Names { classes: Vec::new(), zones: list("zones")? };
+    let mut names = Names { classes: Vec::new(), zones: list("zones")?, kinds: Vec::new() };
     for k in 0..line.get::<usize>("request_classes.count")?.min(255) {
         let field = |tail: &str| format!("request_classes.{k}.{tail}");
         names.classes.push(line.text(&field("name"))?.to_owned());
--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -79,7 +79,7 @@
             "ITEM" => {
                 self.entries_due -= 1;
                 if let Some(list) = round.lists.last_mut() {
-                    list.entries.push(listed(line)?);
+                    list.entries.push(listed(line, names)?);
                 }
             }
             "BELL" => round.timers.push(TimerId(line.get("ref")?)),
@@ -142,10 +142,11 @@
     }
 }
 
-fn listed(line: &Line) -> Result<Listed, String> {
+fn listed(line: &Line, names: &mut Names) -> Result<Listed, String> {
     let started = line.maybe("last_start_us").map_or(Ok(0.0), |_| line.seconds("last_start_us"))?;
     Ok(Listed {
         host: line.host()?,
+        kind: KindId(place(&mut names.kinds, line.maybe("flavor").unwrap_or_default())),
         phase: match line.text("phase")? {
             "active" => Phase::Ready,
             "leaving" => Phase::Draining,
@@ -157,6 +158,15 @@
     })
 }
 
+/// A name's place among those met, itself added when new.
+fn place(names: &mut Vec<String>, name: &str) -> u16 {
+    let found = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    });
+    found as u16
+}
+
 fn probe_end(line: &Line) -> Result<ProbeEnd, String> {
     Ok(match line.get::<u32>("code")? {
         100 => ProbeEnd::Answered,
@@ -167,15 +177,10 @@
 }
 
 fn heard(line: &Line, names: &mut Names) -> Result<TrySum, String> {
-    let zone = line.text("zone")?;
-    let place = names.zones.iter().position(|known| known == zone).unwrap_or_else(|| {
-        names.zones.push(zone.to_owned());
-        names.zones.len() - 1
-    });
     let report = line.maybe("server_stats").unwrap_or_default();
     let values = report.split(',').filter(|value| !value.is_empty());
     Ok(TrySum {
-        zone: ZoneId(place as u16),
+        zone: ZoneId(place(&mut names.zones, line.text("zone")?)),
         host: line.host()?,
         tries: line.amount("total")?,
         failed: line.amount("failed")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,13 +43,14 @@
 const DAY: Seconds = 86_400.0;
 /// Times its usual work that a slice costs a host that has not met its keys.
 const COLD_KEYS: f64 = 1.5;
+/// Seconds an operation is taken to need before anything is known: too small to stop any placing.
+const UNKNOWN_SERVICE: Seconds = 0.01;
 /// Share of a host's capacity an heir may be filled to before the next on the hash is asked.
 const FULL: f64 = 0.75;
-/// Share of its present capacity that a cold host is given: far under the multiple that fells it.
-const COLD_FILL: f64 = 0.5;
-/// Share of its present capacity past which a cold host hands slices over again: well under the multiple,
-/// as its work is misjudged by half at times, and above the fill, so that slices do not go to and fro.
-const COLD_SHED: f64 = 0.8;
+/// Parts of the multiple that fells a cold host: what it is given of its present capacity, and past what it
+/// hands slices over again. Its work is misjudged by half at times; between the two nothing goes to and fro.
+const COLD_FILL: f64 = 0.2;
+const COLD_SHED: f64 = 0.35;
 /// Times its present demand for which a host's latency is expected: demand swings, and a fast host that is
 /// nearly full is only fast until then.
 const SWING: f64 = 1.3;
@@ -141,6 +142,11 @@
     scores.get(place).copied().unwrap_or(1.0)
 }
 
+fn middle(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 /// The one host whose score stands a gap above all others.
 fn outlier(scores: &[(HostId, f64)]) -> Option<HostId> {
     let top = scores.iter().max_by(|a, b| a.1.total_cmp(&b.1))?;
@@ -151,6 +157,7 @@
 struct Host {
     phase: Phase,
     weight: f64,
+    kind: KindId,
     /// When it began to warm up: its last start, or the end of a silence.
     cold_since: Option<Seconds>,
     started: Option<Seconds>,
@@ -175,6 +182,7 @@
         Host {
             phase: listed.phase,
             weight: listed.weight,
+            kind: listed.kind,
             cold_since: listed.started,
             started: listed.started,
             pairs: BTreeMap::new(),
@@ -262,6 +270,9 @@
     demand: f64,
     service: Seconds,
     capacity: f64,
+    /// Utilisation it may be filled to, and past which slices leave it.
+    fill: f64,
+    shed: f64,
     cold: bool,
 }
 
@@ -281,7 +292,7 @@
         self.service * stretch
     }
     fn holds(&self, more: f64) -> bool {
-        self.utilisation(more) <= if self.cold { COLD_FILL } else { FULL }
+        self.utilisation(more) <= self.fill
     }
 }
 
@@ -469,26 +480,32 @@
         admitted.sum::<f64>() / self.heard.read(now, MEMORY).max(0.01)
     }
 
+    /// The middle service time among hosts of a kind, or else among all.
+    fn usual_service(&self, now: Seconds, kind: KindId) -> Seconds {
+        let known = |alike: bool| {
+            let some = self.hosts.values().filter(|host| !alike || host.kind == kind);
+            middle(some.filter_map(|host| host.service_time(now)).collect())
+        };
+        known(true).or_else(|| known(false)).unwrap_or(UNKNOWN_SERVICE)
+    }
+
     fn loads(&self, now: Seconds) -> BTreeMap<HostId, Load> {
-        let mut known: Vec<f64> = self.hosts.values().filter_map(|host| host.service_time(now)).collect();
-        known.sort_by(f64::total_cmp);
-        let middle = known.get(known.len() / 2).copied().unwrap_or(0.01);
+        let multiple = self.terms.fall_multiple;
         let usable = self.hosts.iter().filter(|(_, host)| host.usable());
         let mut loads: BTreeMap<HostId, Load> = usable
             .map(|(id, host)| {
                 let warmth = host.warmth(now, &self.terms);
-                let known = host.service_time(now).unwrap_or(middle);
-                // A host that has just started has met no keys, and its first reports flatter it.
-                let service = if warmth < 1.0 { known.max(middle) } else { known };
-                (
-                    *id,
-                    Load {
-                        demand: 0.0,
-                        service,
-                        capacity: host.weight.max(0.01) * warmth,
-                        cold: warmth < 1.0,
-                    },
-                )
+                let capacity = host.weight.max(0.01) * warmth;
+                let known = host.service_time(now);
+                if warmth < 1.0 {
+                    // A host that has just started has met no keys, and its first reports flatter it.
+                    let usual = self.usual_service(now, host.kind);
+                    let service = known.map_or(usual, |known| known.max(usual));
+                    let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
+                    return (*id, Load { demand: 0.0, service, capacity, fill, shed, cold: true });
+                }
+                let service = known.unwrap_or_else(|| self.usual_service(now, host.kind));
+                (*id, Load { demand: 0.0, service, capacity, fill: FULL, shed: f64::INFINITY, cold: false })
             })
             .collect();
         for slice in self.slices.values() {
@@ -543,7 +560,7 @@
             .map(|(id, _)| *id)
             .collect();
         let mut cold = Vec::new();
-        for (host, load) in loads.iter().filter(|(_, load)| load.cold && load.utilisation(0.0) > COLD_SHED) {
+        for (host, load) in loads.iter().filter(|(_, load)| load.utilisation(0.0) > load.shed) {
             let mut left = *load;
             for id in self.slices_of(now, *host) {
                 if !left.holds(0.0) {
@@ -630,9 +647,7 @@
         let full = f64::from(self.terms.slices);
         self.moves = (self.moves + (now - self.moves_at) * MOVES_A_DAY * full / DAY).min(full);
         self.moves_at = now;
-        let mut latencies: Vec<f64> = loads.values().map(|load| load.latency(0.0)).collect();
-        latencies.sort_by(f64::total_cmp);
-        let Some(middle) = latencies.get(latencies.len() / 2).copied() else { return };
+        let Some(middle) = middle(loads.values().map(|load| load.latency(0.0)).collect()) else { return };
         let mut lagging = Vec::new();
         for (id, load) in loads.iter() {
             let host = self.hosts.get_mut(id).expect("loads are of known hosts");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,6 +14,9 @@
 pub struct ZoneId(pub u16);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassId(pub u8);
+/// Hosts of one kind are alike; which kind tells nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KindId(pub u16);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TimerId(pub u64);
 
@@ -87,6 +90,7 @@
     /// When it last started; `None`: long ago.
     pub started: Option<Seconds>,
     pub weight: f64,
+    pub kind: KindId,
 }
 
 #[derive(Clone, Debug)]
