Levels begin to fall at 0.78 of what the hosts can do

From 0.95, set when speeds were misjudged. Hosts past 0.9 of their capacity thrash, so a deploy that filled them never recovered.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,7 @@
 /// Share of the listed hosts that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
-const OVERLOAD: f64 = 0.95;
+const OVERLOAD: f64 = 0.78;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.15;
 const LEVEL_RISE: f64 = 0.05;
