--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,7 +68,7 @@
 /// Utilisation of all hosts together at which levels begin to fall.
 const OVERLOAD: f64 = 0.78;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
-const LEVEL_FALL: f64 = 0.15;
+const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
