--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,8 @@
 const COLD_KEYS: f64 = 1.5;
 /// Seconds an operation is taken to need before anything is known: too small to stop any placing.
 const UNKNOWN_SERVICE: Seconds = 0.01;
+/// Weight of a standby's line beside the owner's 1: too small to draw first tries.
+const STANDBY: f64 = 0.0001;
 /// Share of a host's capacity an heir may be filled to before the next on the hash is asked.
 const FULL: f64 = 0.75;
 /// Parts of the multiple that fells a cold host: what it is given of its present capacity, and past what it
@@ -259,6 +261,8 @@
     owner: Option<HostId>,
     /// The host it was taken from and goes back to.
     home: Option<HostId>,
+    /// A second line of next to no weight, for further tries when the owner refuses or can't be reached.
+    standby: Option<HostId>,
     written: Vec<(HostId, f64)>,
     demand: Vec<Sum>,
     rests_until: Seconds,
@@ -304,7 +308,7 @@
     proxies: BTreeSet<ProxyId>,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
-    levels_written: Vec<f64>,
+    levels_written: Vec<(f64, SecondTry)>,
     moves: f64,
     moves_at: Seconds,
     /// Seconds that the sums heard so far cover, decaying like them: a sum over this is a rate.
@@ -324,7 +328,7 @@
             proxies: BTreeSet::new(),
             withdrawn: None,
             levels: vec![1.0; terms.classes.len()],
-            levels_written: vec![1.0; terms.classes.len()],
+            levels_written: vec![(1.0, SecondTry::IfNeverRan); terms.classes.len()],
             moves: f64::from(terms.slices),
             moves_at: 0.0,
             heard: Sum::default(),
@@ -370,6 +374,7 @@
                 self.follow_latency(now, &mut loads);
                 self.set_levels(now, &loads);
             }
+            self.stand_by(&loads);
             self.flush(now, urgent, orders);
         }
         if turn {
@@ -405,6 +410,7 @@
             let slice = Slice {
                 owner: top.map(|line| line.0),
                 home: None,
+                standby: None,
                 written: charge.lines.clone(),
                 demand: vec![Sum::default(); self.terms.classes.len()],
                 rests_until: 0.0,
@@ -705,6 +711,20 @@
         }
     }
 
+    /// Guards operations against a host that died or turns them away, until the steward hears of it: each
+    /// table has the next warm host on the hash as a second line, which only further tries meet.
+    fn stand_by(&mut self, loads: &BTreeMap<HostId, Load>) {
+        let open = |host: &HostId| loads.get(host).is_some_and(|l| !l.cold) && Some(*host) != self.withdrawn;
+        for (id, slice) in &mut self.slices {
+            if slice.standby.is_some_and(|host| open(&host) && Some(host) != slice.owner) {
+                continue;
+            }
+            let others = loads.keys().copied().filter(|host| open(host) && Some(*host) != slice.owner);
+            let on_hash = |host: &HostId| rendezvous(*id, *host, self.hosts[host].weight);
+            slice.standby = others.max_by(|a, b| on_hash(a).total_cmp(&on_hash(b)));
+        }
+    }
+
     /// Writes what differs from the standing tables, within the message allowance and the backlog.
     fn flush(&mut self, now: Seconds, urgent: bool, orders: &mut impl Orders) {
         while self.sent.front().is_some_and(|at| *at < now - self.terms.update_span) {
@@ -721,14 +741,23 @@
         let before = self.backlog;
         self.backlog += proxies * (self.terms.envelope + self.levels.len() as f64);
         let mut lines = 0;
-        for k in (0..self.levels.len()).filter(|k| self.levels[*k] != self.levels_written[*k]) {
-            lines += 1;
-            self.backlog += proxies;
-            orders.set_level(ClassId(k as u8), self.levels[k], SecondTry::IfNeverRan);
+        // Further tries would feed an overload, so they end with the first level that falls.
+        let calm = self.levels.iter().all(|level| *level == 1.0);
+        let second_try = if calm { SecondTry::IfNeverRan } else { SecondTry::Never };
+        for (k, written) in self.levels_written.iter_mut().enumerate() {
+            let wanted = (self.levels[k], second_try);
+            if *written != wanted {
+                lines += 1;
+                self.backlog += proxies;
+                orders.set_level(ClassId(k as u8), wanted.0, wanted.1);
+                *written = wanted;
+            }
         }
-        self.levels_written.clone_from(&self.levels);
         for (id, slice) in &mut self.slices {
-            let wanted: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
+            let mut wanted: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
+            if !self.terms.exclusive {
+                wanted.extend(slice.standby.filter(|_| slice.owner.is_some()).map(|host| (host, STANDBY)));
+            }
             if wanted == slice.written {
                 continue;
             }
@@ -769,6 +798,7 @@
         let slice = self.slices.entry(table).or_insert_with(|| Slice {
             owner: None,
             home: None,
+            standby: None,
             written: Vec::new(),
             demand: vec![Sum::default(); classes],
             rests_until: 0.0,
