A second try after any failure where the class allows it

Meets any host that turns away, resets, hangs or dies before the steward hears of it; hurts when all are full, so it ends with the first level that falls.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,8 @@
 const COLD_KEYS: f64 = 1.5;
 /// Seconds an operation is taken to need before anything is known: too small to stop any placing.
 const UNKNOWN_SERVICE: Seconds = 0.01;
+/// Times the wait before a second try that a key's window must last: the first try may end late.
+const KEY_SLACK: f64 = 3.0;
 /// Weight of a standby's line beside the owner's 1: too small to draw first tries.
 const STANDBY: f64 = 0.0001;
 /// Share of a host's capacity an heir may be filled to before the next on the hash is asked.
@@ -144,6 +146,20 @@
     scores.get(place).copied().unwrap_or(1.0)
 }
 
+impl ClassTerms {
+    /// The widest way of trying again that can't take effect twice: a keyed operation only where every host
+    /// drops the repeat, and with time to spare in the window that the first try opened.
+    fn may_repeat(&self, first_wait: f64) -> SecondTry {
+        match self.repeat {
+            Repeat::Safe => SecondTry::AfterFailure,
+            Repeat::KeyedEverywhere(window) if window >= KEY_SLACK * first_wait * self.contract_time => {
+                SecondTry::AfterFailure
+            }
+            Repeat::KeyedEverywhere(_) | Repeat::KeyedNearby | Repeat::Never => SecondTry::IfNeverRan,
+        }
+    }
+}
+
 fn middle(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
@@ -743,9 +759,9 @@
         let mut lines = 0;
         // Further tries would feed an overload, so they end with the first level that falls.
         let calm = self.levels.iter().all(|level| *level == 1.0);
-        let second_try = if calm { SecondTry::IfNeverRan } else { SecondTry::Never };
         for (k, written) in self.levels_written.iter_mut().enumerate() {
-            let wanted = (self.levels[k], second_try);
+            let again = self.terms.classes[k].may_repeat(self.terms.first_wait);
+            let wanted = (self.levels[k], if calm { again } else { SecondTry::Never });
             if *written != wanted {
                 lines += 1;
                 self.backlog += proxies;
