--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,8 @@
 const RETURNS_PER_TURN: usize = 2;
 /// Seconds over which demand and times are averaged: some tens of operations a host.
 const MEMORY: Seconds = 4.0;
-/// Seconds over which a host's speed is averaged: longer, as machines change less than demand.
-const SPEED_MEMORY: Seconds = 6.0;
+/// Seconds over which a host's speed is averaged: long, as machines change less than demand and it decides most.
+const SPEED_MEMORY: Seconds = 10.0;
 /// Times the middle latency at which a host lags.
 const LAG: f64 = 1.25;
 /// Turns a host lags before a slice leaves it: rides out one noisy report.
@@ -70,7 +70,7 @@
 /// Share of the listed hosts that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
-const OVERLOAD: f64 = 0.78;
+const OVERLOAD: f64 = 0.7;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
@@ -102,13 +102,14 @@
     score: f64,
     tries: f64,
     failed: f64,
+    time: Seconds,
     span: Seconds,
     window: VecDeque<(Seconds, f64)>,
 }
 
 impl Pair {
     fn new() -> Pair {
-        Pair { score: 1.0, tries: 0.0, failed: 0.0, span: 0.0, window: VecDeque::new() }
+        Pair { score: 1.0, tries: 0.0, failed: 0.0, time: 0.0, span: 0.0, window: VecDeque::new() }
     }
 
     /// One epoch. Without a report there is no evidence; a report over several epochs counts for each.
@@ -121,7 +122,7 @@
         if withdrawn || self.tries > 0.0 {
             self.window.push_back((now, self.score));
         }
-        (self.tries, self.failed, self.span) = (0.0, 0.0, 0.0);
+        (self.tries, self.failed, self.time, self.span) = (0.0, 0.0, 0.0, 0.0);
         while self.window.front().is_some_and(|(at, _)| *at < now - WINDOW) {
             self.window.pop_front();
         }
@@ -180,11 +181,8 @@
     cold_since: Option<Seconds>,
     started: Option<Seconds>,
     pairs: BTreeMap<ZoneId, Pair>,
-    good: Sum,
-    failed: Sum,
-    time: Sum,
-    service: Sum,
-    service_weight: Sum,
+    core_time: Sum,
+    completed: Sum,
     in_hand: f64,
     busy: Option<f64>,
     last_good: Seconds,
@@ -204,11 +202,8 @@
             cold_since: listed.started,
             started: listed.started,
             pairs: BTreeMap::new(),
-            good: Sum::default(),
-            failed: Sum::default(),
-            time: Sum::default(),
-            service: Sum::default(),
-            service_weight: Sum::default(),
+            core_time: Sum::default(),
+            completed: Sum::default(),
             in_hand: 0.0,
             busy: None,
             last_good: 0.0,
@@ -237,25 +232,26 @@
 
     /// Time one operation holds a core, without waiting.
     fn service_time(&self, now: Seconds) -> Option<Seconds> {
-        let weight = self.service_weight.read(now, SPEED_MEMORY);
-        (weight > 0.5).then(|| self.service.read(now, SPEED_MEMORY) / weight)
+        let (core_time, completed) =
+            (self.core_time.read(now, SPEED_MEMORY), self.completed.read(now, SPEED_MEMORY));
+        (core_time > 0.01).then(|| core_time / completed.max(0.5))
     }
 
-    /// Core time of an operation, from how full the host is and what it completes. With u operations in hand
-    /// a unit of present size, utilisation is close to u / sqrt(1 + u^2) for machines of a few cores.
-    fn learn_speed(&mut self, now: Seconds, heard: Seconds, warmth: f64, contract_time: Seconds) {
-        let good = self.good.read(now, MEMORY);
-        let failed = self.failed.read(now, MEMORY);
-        if good + failed < 2.0 {
+    /// Core time of an operation: the core seconds of an epoch over what it completed. With u operations in
+    /// hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores.
+    fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
+        let span = self.pairs.values().map(|pair| pair.span).fold(0.0, f64::max);
+        let (gauge, busy) = (std::mem::take(&mut self.in_hand), self.busy.take());
+        if span <= 0.0 {
             return;
         }
+        let total = |part: fn(&Pair) -> f64| self.pairs.values().map(part).sum::<f64>();
+        let failed = total(|pair| pair.failed);
         let size = self.weight.max(0.01) * warmth;
-        let in_hand = (self.time.read(now, MEMORY) + failed * contract_time) / heard;
-        let in_hand = in_hand.max(self.in_hand) / size;
-        let busy = self.busy.unwrap_or(in_hand / in_hand.hypot(1.0));
-        let service = (busy * size * heard / good.max(0.5)).min(contract_time);
-        self.service.add(now, service * (good + failed), SPEED_MEMORY);
-        self.service_weight.add(now, good + failed, SPEED_MEMORY);
+        let in_hand = ((total(|pair| pair.time) + failed * contract_time) / span).max(gauge) / size;
+        let busy = busy.unwrap_or(in_hand / in_hand.hypot(1.0));
+        self.core_time.add(now, busy * size * span, SPEED_MEMORY);
+        self.completed.add(now, total(|pair| pair.tries) - failed, SPEED_MEMORY);
     }
 
     /// Takes a load report, each value by its meaning, as operations in hand or as a busy share.
@@ -438,9 +434,6 @@
     fn hear_tries(&mut self, now: Seconds, sum: &TrySum) {
         let Some(host) = self.hosts.get_mut(&sum.host) else { return };
         let good = (sum.tries - sum.failed).max(0.0);
-        host.good.add(now, good, MEMORY);
-        host.failed.add(now, sum.failed, MEMORY);
-        host.time.add(now, good * sum.mean_time, MEMORY);
         if good > 0.0 {
             host.last_good = now;
         }
@@ -448,6 +441,7 @@
         let pair = host.pairs.entry(sum.zone).or_insert_with(Pair::new);
         pair.tries += sum.tries;
         pair.failed += sum.failed;
+        pair.time += good * sum.mean_time;
         pair.span += sum.span;
     }
 
@@ -614,12 +608,11 @@
     /// The design's epoch: scores, the outlier test, and at most one host withdrawn.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
-        let heard = self.heard.read(now, MEMORY).max(0.01);
         let classes = &self.terms.classes;
         let contract_time =
             classes.iter().map(|c| c.contract_time).sum::<f64>() / classes.len().max(1) as f64;
         for (id, host) in &mut self.hosts {
-            host.learn_speed(now, heard, host.warmth(now, &self.terms), contract_time);
+            host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
             if host.usable() {
