Operations in hand from times and rates alone

The larger of the reported and the counted figure was biased high by the noise of both, and levels fell without need.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -241,14 +241,14 @@
     /// hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores.
     fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
         let span = self.pairs.values().map(|pair| pair.span).fold(0.0, f64::max);
-        let (gauge, busy) = (std::mem::take(&mut self.in_hand), self.busy.take());
+        let busy = self.busy.take();
         if span <= 0.0 {
             return;
         }
         let total = |part: fn(&Pair) -> f64| self.pairs.values().map(part).sum::<f64>();
         let failed = total(|pair| pair.failed);
         let size = self.weight.max(0.01) * warmth;
-        let in_hand = ((total(|pair| pair.time) + failed * contract_time) / span).max(gauge) / size;
+        let in_hand = (total(|pair| pair.time) + failed * contract_time) / span / size;
         let busy = busy.unwrap_or(in_hand / in_hand.hypot(1.0));
         self.core_time.add(now, busy * size * span, SPEED_MEMORY);
         self.completed.add(now, total(|pair| pair.tries) - failed, SPEED_MEMORY);
