--- a/src/brain.rs
+++ b/src/brain.rs
@@ -249,7 +249,8 @@
         let failed = total(|pair| pair.failed);
         let size = self.weight.max(0.01) * warmth;
         let in_hand = (total(|pair| pair.time) + failed * contract_time) / span / size;
-        let busy = busy.unwrap_or(in_hand / in_hand.hypot(1.0));
+        let counted = in_hand / in_hand.hypot(1.0);
+        let busy = busy.map_or(counted, |reported| 0.5 * (reported + counted));
         self.core_time.add(now, busy * size * span, SPEED_MEMORY);
         self.completed.add(now, total(|pair| pair.tries) - failed, SPEED_MEMORY);
     }
