--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -1,11 +1,13 @@
 //! Decodes the settings of a `CREATE` that the module reads.
 use crate::fields::Line;
-use railhub::{ClassTerms, Gauge, Repeat, Terms};
+use railhub::{ClassTerms, Repeat, Terms};
 
 pub struct Names {
     pub classes: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    /// Place of the busy share in load reports.
+    pub busy_at: Option<usize>,
 }
 
 pub fn decode(line: &Line) -> Result<(Terms, Names), String> {
@@ -13,8 +15,10 @@
         let text = line.text(field)?;
         Ok(text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect())
     };
+    let reports = line.maybe("telemetry.names").unwrap_or_default();
+    let busy_at = reports.split(',').position(|name| name == "busy");
     let mut classes = Vec::new();
-    let mut names = Names { classes: Vec::new(), zones: list("zones")?, kinds: Vec::new() };
+    let mut names = Names { classes: Vec::new(), zones: list("zones")?, kinds: Vec::new(), busy_at };
     for k in 0..line.get::<usize>("request_classes.count")?.min(255) {
         let field = |tail: &str| format!("request_classes.{k}.{tail}");
         names.classes.push(line.text(&field("name"))?.to_owned());
@@ -32,16 +36,11 @@
             },
         });
     }
-    let gauges = match line.maybe("telemetry.names") {
-        Some(_) => list("telemetry.names")?.iter().map(|name| gauge(name)).collect(),
-        None => Vec::new(),
-    };
     let terms = Terms {
         seed: line.get("seed")?,
         classes,
         slices: line.get("family_info.key_ranges")?,
         exclusive: line.flag("family_info.exclusive")?,
-        gauges,
         may_probe: line.flag("ceilings.probes")?,
         levels_by_share: line.text("family_info.throttle_by")? == "share",
         cold_from: line.amount("rules.cold_from")?,
@@ -56,14 +55,3 @@
     };
     Ok((terms, names))
 }
-
-fn gauge(name: &str) -> Gauge {
-    match name {
-        "rif" => Gauge::InHand,
-        "q" => Gauge::Waiting,
-        "busy" => Gauge::Busy,
-        "lat_ms" => Gauge::ServiceMs,
-        "rate" => Gauge::PerSecond,
-        _ => Gauge::Unknown,
-    }
-}
--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -178,7 +178,10 @@
 
 fn heard(line: &Line, names: &mut Names) -> Result<TrySum, String> {
     let report = line.maybe("server_stats").unwrap_or_default();
-    let values = report.split(',').filter(|value| !value.is_empty());
+    let values: Vec<f64> = (report.split(',').filter(|value| !value.is_empty()))
+        .map(|value| value.parse().ok().filter(|v: &f64| v.is_finite()))
+        .collect::<Option<_>>()
+        .ok_or_else(|| line.wrong("server_stats", format!("cannot be '{report}'")))?;
     Ok(TrySum {
         zone: ZoneId(place(&mut names.zones, line.text("zone")?)),
         host: line.host()?,
@@ -186,10 +189,7 @@
         failed: line.amount("failed")?,
         mean_time: line.seconds("rtt_us")?,
         span: line.seconds("over_us")?,
-        report: values
-            .map(|value| value.parse().ok().filter(|v: &f64| v.is_finite()))
-            .collect::<Option<_>>()
-            .ok_or_else(|| line.wrong("server_stats", format!("cannot be '{report}'")))?,
+        busy: names.busy_at.and_then(|at| values.get(at).copied()),
     })
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -183,7 +183,6 @@
     pairs: BTreeMap<ZoneId, Pair>,
     core_time: Sum,
     completed: Sum,
-    in_hand: f64,
     busy: Option<f64>,
     last_good: Seconds,
     silent: u32,
@@ -204,7 +203,6 @@
             pairs: BTreeMap::new(),
             core_time: Sum::default(),
             completed: Sum::default(),
-            in_hand: 0.0,
             busy: None,
             last_good: 0.0,
             silent: 0,
@@ -238,7 +236,8 @@
     }
 
     /// Core time of an operation: the core seconds of an epoch over what it completed. With u operations in
-    /// hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores.
+    /// hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores;
+    /// where hosts report it, it needs no guess.
     fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
         let span = self.pairs.values().map(|pair| pair.span).fold(0.0, f64::max);
         let busy = self.busy.take();
@@ -249,25 +248,10 @@
         let failed = total(|pair| pair.failed);
         let size = self.weight.max(0.01) * warmth;
         let in_hand = (total(|pair| pair.time) + failed * contract_time) / span / size;
-        let counted = in_hand / in_hand.hypot(1.0);
-        let busy = busy.map_or(counted, |reported| 0.5 * (reported + counted));
+        let busy = busy.map_or(in_hand / in_hand.hypot(1.0), |reported| reported.clamp(0.01, 1.0));
         self.core_time.add(now, busy * size * span, SPEED_MEMORY);
         self.completed.add(now, total(|pair| pair.tries) - failed, SPEED_MEMORY);
     }
-
-    /// Takes a load report, each value by its meaning, as operations in hand or as a busy share.
-    fn hear_report(&mut self, gauges: &[Gauge], report: &[f64]) {
-        if report.len() != gauges.len() {
-            return;
-        }
-        for (gauge, value) in gauges.iter().zip(report) {
-            match gauge {
-                Gauge::InHand | Gauge::Waiting => self.in_hand = *value,
-                Gauge::Busy => self.busy = Some(value.clamp(0.01, 1.0)),
-                Gauge::ServiceMs | Gauge::PerSecond | Gauge::Unknown => {}
-            }
-        }
-    }
 }
 
 struct Slice {
@@ -438,7 +422,7 @@
         if good > 0.0 {
             host.last_good = now;
         }
-        host.hear_report(&self.terms.gauges, &sum.report);
+        host.busy = sum.busy.or(host.busy);
         let pair = host.pairs.entry(sum.zone).or_insert_with(Pair::new);
         pair.tries += sum.tries;
         pair.failed += sum.failed;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,17 +38,6 @@
     pub repeat: Repeat,
 }
 
-/// What a load report's value stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gauge {
-    InHand,
-    Waiting,
-    Busy,
-    ServiceMs,
-    PerSecond,
-    Unknown,
-}
-
 /// What a steward knows when it starts.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -58,7 +47,6 @@
     pub slices: u16,
     /// A slice's table has one line, its owner.
     pub exclusive: bool,
-    pub gauges: Vec<Gauge>,
     pub may_probe: bool,
     pub levels_by_share: bool,
     /// Least share of its capacity a host starts with, and the longest it takes to be warm.
@@ -123,7 +111,8 @@
     /// Mean time of the good ones; 0 if there were none.
     pub mean_time: Seconds,
     pub span: Seconds,
-    pub report: Vec<f64>,
+    /// Share of its cores that the host last reported busy.
+    pub busy: Option<f64>,
 }
 
 /// Operations of a class that came for a slice.
