--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,7 +12,7 @@
 const EPOCH: Seconds = 1.0;
 /// Failures over tries that count as heavy degradation; the paper's figure.
 const RATIO_THRESH: f64 = 0.1;
-/// Seconds without failure that take a score from 100 to 1: shorter than the start, as troubles last 10 to 30.
+/// Seconds without failure that take a score from 100 to 1: short, as troubles last tens of seconds.
 const MIN_TTR: Seconds = 12.0;
 /// Seconds of scores a host is judged on: short, since a day's troubles last tens of seconds.
 const WINDOW: Seconds = 5.0;
@@ -26,7 +26,7 @@
 const RETURNS_PER_TURN: usize = 2;
 /// Seconds over which demand and times are averaged: some tens of operations a host.
 const MEMORY: Seconds = 4.0;
-/// Seconds over which a host's speed is averaged: long, as machines change less than demand and it decides most.
+/// Seconds over which a host's speed is averaged: long, since it decides most.
 const SPEED_MEMORY: Seconds = 10.0;
 /// Times the middle latency at which a host lags.
 const LAG: f64 = 1.25;
@@ -60,6 +60,8 @@
 const SWING: f64 = 1.3;
 /// Past this utilisation the latency curve goes on as a straight line, to stay finite.
 const STEEP: f64 = 0.95;
+/// Its slope there, of the order of the curve's own: a tenth more demand doubles the wait.
+const STEEPNESS: f64 = 10.0;
 /// Probes without answer that count as proof, when the process can't be reached or when it is silent.
 const SILENT_PROBES: u32 = 3;
 const UNREACHED_PROBES: u32 = 2;
@@ -74,6 +76,8 @@
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
+/// Least change of a level that is worth an order to all proxies.
+const LEVEL_STEP: f64 = 0.02;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
 /// Share of its usual pace the channel is trusted to drain at: it may be several times slower.
@@ -230,9 +234,8 @@
 
     /// Time one operation holds a core, without waiting.
     fn service_time(&self, now: Seconds) -> Option<Seconds> {
-        let (core_time, completed) =
-            (self.core_time.read(now, SPEED_MEMORY), self.completed.read(now, SPEED_MEMORY));
-        (core_time > 0.01).then(|| core_time / completed.max(0.5))
+        let core_time = self.core_time.read(now, SPEED_MEMORY);
+        (core_time > 0.01).then(|| core_time / self.completed.read(now, SPEED_MEMORY).max(0.5))
     }
 
     /// Core time of an operation: the core seconds of an epoch over what it completed. With u operations in
@@ -265,6 +268,23 @@
     rests_until: Seconds,
 }
 
+impl Slice {
+    fn new(stored: Vec<(HostId, f64)>, classes: usize) -> Slice {
+        let owner = stored.iter().max_by(|a, b| a.1.total_cmp(&b.1)).map(|line| line.0);
+        let demand = vec![Sum::default(); classes];
+        Slice { owner, home: None, standby: None, written: stored, demand, rests_until: 0.0 }
+    }
+
+    /// Takes over the wanted lines and gives those to write, new ones first: no table is empty between.
+    fn change(&mut self, wanted: Vec<(HostId, f64)>) -> Vec<(HostId, f64)> {
+        let mut lines: Vec<_> = wanted.iter().copied().filter(|line| !self.written.contains(line)).collect();
+        let old = self.written.iter().filter(|line| wanted.iter().all(|kept| kept.0 != line.0));
+        lines.extend(old.map(|line| (line.0, 0.0)));
+        self.written = wanted;
+        lines
+    }
+}
+
 /// What a turn goes by: each usable host's demand, speed and present capacity.
 #[derive(Clone, Copy)]
 struct Load {
@@ -284,13 +304,8 @@
     /// Expected latency with so much more demand, should it swing up.
     fn latency(&self, more: f64) -> Seconds {
         let busy = SWING * self.utilisation(more);
-        let steep = 1.0 / (1.0 - STEEP * STEEP).sqrt();
-        let stretch = if busy < STEEP {
-            1.0 / (1.0 - busy * busy).sqrt()
-        } else {
-            steep * (1.0 + 10.0 * (busy - STEEP))
-        };
-        self.service * stretch
+        let full = busy.min(STEEP);
+        self.service / (1.0 - full * full).sqrt() * (1.0 + STEEPNESS * (busy - full))
     }
     fn holds(&self, more: f64) -> bool {
         self.utilisation(more) <= self.fill
@@ -299,7 +314,7 @@
 
 pub struct Steward {
     terms: Terms,
-    started: Option<Seconds>,
+    started: bool,
     hosts: BTreeMap<HostId, Host>,
     slices: BTreeMap<SliceId, Slice>,
     proxies: BTreeSet<ProxyId>,
@@ -319,7 +334,7 @@
 impl Steward {
     pub fn new(terms: Terms) -> Steward {
         Steward {
-            started: None,
+            started: false,
             hosts: BTreeMap::new(),
             slices: BTreeMap::new(),
             proxies: BTreeSet::new(),
@@ -339,8 +354,7 @@
 
     pub fn round(&mut self, round: &Round, orders: &mut impl Orders) {
         let now = round.now;
-        let turn = self.started.is_none() || !round.timers.is_empty();
-        self.started.get_or_insert(now);
+        let turn = !std::mem::replace(&mut self.started, true) || !round.timers.is_empty();
         round.lists.iter().for_each(|list| self.hear_list(list));
         round.charges.iter().for_each(|charge| self.take_charge(charge));
         let spans = round.tries.iter().map(|sum| sum.span).chain(round.demand.iter().map(|sum| sum.span));
@@ -352,21 +366,19 @@
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
         let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
         for change in &round.streams {
-            if change.up {
-                self.proxies.insert(change.proxy)
-            } else {
-                self.proxies.remove(&change.proxy)
-            };
+            self.proxies.remove(&change.proxy);
+            self.proxies.extend(change.up.then_some(change.proxy));
         }
         let urgent = verdicts > 0 || !round.lists.is_empty() || !round.charges.is_empty();
         if self.terms.slices == 0 {
             self.one_table(now, round, orders);
         } else if turn || urgent {
+            if turn {
+                self.judge(now, orders);
+            }
             let mut loads = self.loads(now);
             self.hand_over(now, &mut loads, orders);
             if turn {
-                self.judge(now, orders);
-                self.hand_over(now, &mut loads, orders);
                 self.take_back(now, &mut loads);
                 self.follow_latency(now, &mut loads);
                 self.set_levels(now, &loads);
@@ -403,15 +415,7 @@
     fn take_charge(&mut self, charge: &Charge) {
         self.slices.remove(&charge.slice);
         if charge.given {
-            let top = charge.lines.iter().max_by(|a, b| a.1.total_cmp(&b.1));
-            let slice = Slice {
-                owner: top.map(|line| line.0),
-                home: None,
-                standby: None,
-                written: charge.lines.clone(),
-                demand: vec![Sum::default(); self.terms.classes.len()],
-                rests_until: 0.0,
-            };
+            let slice = Slice::new(charge.lines.clone(), self.terms.classes.len());
             self.slices.insert(charge.slice, slice);
         }
     }
@@ -431,15 +435,14 @@
     }
 
     fn hear_demand(&mut self, now: Seconds, sum: &DemandSum) {
-        if let Some(slice) = self.slices.get_mut(&sum.slice) {
-            if let Some(demand) = slice.demand.get_mut(usize::from(sum.class.0)) {
-                demand.add(now, sum.operations, MEMORY);
-            }
+        let slice = self.slices.get_mut(&sum.slice);
+        if let Some(demand) = slice.and_then(|slice| slice.demand.get_mut(usize::from(sum.class.0))) {
+            demand.add(now, sum.operations, MEMORY);
         }
     }
 
-    /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't reach,
-    /// or that is silent while its load is no excuse, counts as gone. Tells whether a verdict changed.
+    /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't
+    /// reach, or that is silent to them and in the sums, counts as gone. Tells whether a verdict changed.
     fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
         let listed = self.hosts.values().filter(|host| host.phase == Phase::Ready).count();
         let down = self.hosts.values().filter(|host| host.down && host.phase == Phase::Ready).count();
@@ -493,22 +496,19 @@
     fn loads(&self, now: Seconds) -> BTreeMap<HostId, Load> {
         let multiple = self.terms.fall_multiple;
         let usable = self.hosts.iter().filter(|(_, host)| host.usable());
-        let mut loads: BTreeMap<HostId, Load> = usable
-            .map(|(id, host)| {
-                let warmth = host.warmth(now, &self.terms);
-                let capacity = host.weight.max(0.01) * warmth;
-                let known = host.service_time(now);
-                if warmth < 1.0 {
-                    // A host that has just started has met no keys, and its first reports flatter it.
-                    let usual = self.usual_service(now, host.kind);
-                    let service = known.map_or(usual, |known| known.max(usual));
-                    let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
-                    return (*id, Load { demand: 0.0, service, capacity, fill, shed, cold: true });
-                }
-                let service = known.unwrap_or_else(|| self.usual_service(now, host.kind));
-                (*id, Load { demand: 0.0, service, capacity, fill: FULL, shed: f64::INFINITY, cold: false })
-            })
-            .collect();
+        let load = |(id, host): (&HostId, &Host)| {
+            let warmth = host.warmth(now, &self.terms);
+            let usual = self.usual_service(now, host.kind);
+            let known = host.service_time(now).unwrap_or(usual);
+            let capacity = host.weight.max(0.01) * warmth;
+            let warm =
+                Load { demand: 0.0, service: known, capacity, fill: FULL, shed: f64::INFINITY, cold: false };
+            // A host that has just started has met no keys, and its first reports flatter it.
+            let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
+            let cold = Load { service: known.max(usual), fill, shed, cold: true, ..warm };
+            (*id, if warmth < 1.0 { cold } else { warm })
+        };
+        let mut loads: BTreeMap<HostId, Load> = usable.map(load).collect();
         for slice in self.slices.values() {
             if let Some(load) = slice.owner.and_then(|owner| loads.get_mut(&owner)) {
                 load.demand += self.rate(now, slice);
@@ -531,7 +531,7 @@
 
     fn move_to(&mut self, now: Seconds, id: SliceId, to: Option<HostId>, loads: &mut BTreeMap<HostId, Load>) {
         let more = self.rate(now, &self.slices[&id]);
-        let Some(slice) = self.slices.get_mut(&id) else { return };
+        let slice = self.slices.get_mut(&id).expect("a slice in charge");
         if let Some(load) = slice.owner.and_then(|owner| loads.get_mut(&owner)) {
             load.demand -= more;
         }
@@ -600,10 +600,8 @@
             host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
-            if host.usable() {
-                let window = host.pairs.values().flat_map(|pair| pair.window.iter().map(|(_, score)| *score));
-                scores.push((*id, percentile(window.collect())));
-            }
+            let window = host.pairs.values().flat_map(|pair| pair.window.iter().map(|(_, score)| *score));
+            scores.extend(host.usable().then(|| (*id, percentile(window.collect()))));
         }
         if let Some(host) = self.withdrawn {
             let worst = self.hosts[&host].pairs.values().map(|pair| pair.score).fold(1.0, f64::max);
@@ -634,8 +632,9 @@
                     *count += 1;
                     self.move_to(now, id, Some(home), loads);
                 }
-                if !loads[&home].cold || slice_at(&self.slices, id) == Some(home) {
-                    self.slices.get_mut(&id).expect("listed above").home = None;
+                let slice = self.slices.get_mut(&id).expect("listed above");
+                if !loads[&home].cold || slice.owner == Some(home) {
+                    slice.home = None;
                 }
             }
         }
@@ -697,9 +696,9 @@
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
             room = (room - offered(k)).max(0.0);
-            let level =
-                wanted.clamp(self.levels[k] - LEVEL_FALL, self.levels[k] + LEVEL_RISE).clamp(0.0, 1.0);
-            if (level - self.levels[k]).abs() > 0.02 || (level == 1.0 && self.levels[k] < 1.0) {
+            let now = self.levels[k];
+            let level = wanted.clamp(now - LEVEL_FALL, now + LEVEL_RISE).clamp(0.0, 1.0);
+            if (level - now).abs() > LEVEL_STEP || level == 1.0 {
                 self.levels[k] = level;
             }
         }
@@ -755,19 +754,16 @@
             if wanted == slice.written {
                 continue;
             }
-            let old: Vec<_> = slice.written.iter().filter(|w| !wanted.iter().any(|l| l.0 == w.0)).collect();
-            let new: Vec<_> = wanted.iter().filter(|line| !slice.written.contains(line)).collect();
-            let cost = proxies * (old.len() + new.len()) as f64;
+            let cost = proxies * (wanted.len() + slice.written.len()) as f64;
             if self.backlog + cost > self.terms.backlog * BACKLOG_USE {
                 break;
             }
             self.backlog += cost;
             lines += 1;
-            new.into_iter().for_each(|line| orders.set_line(*id, line.0, line.1));
-            if !self.terms.exclusive {
-                old.into_iter().for_each(|line| orders.set_line(*id, line.0, 0.0));
-            }
-            slice.written = wanted;
+            // An exclusive table has one line: a new owner takes the old one's place by itself.
+            let removes = !self.terms.exclusive;
+            let changed = slice.change(wanted).into_iter().filter(|line| removes || line.1 > 0.0);
+            changed.for_each(|line| orders.set_line(*id, line.0, line.1));
         }
         if lines > 0 {
             self.sent.push_back(now);
@@ -788,29 +784,13 @@
         if wanted.is_empty() {
             wanted = listed.map(|(id, host)| (*id, host.weight.max(0.01))).collect();
         }
-        let classes = self.terms.classes.len();
-        let slice = self.slices.entry(table).or_insert_with(|| Slice {
-            owner: None,
-            home: None,
-            standby: None,
-            written: Vec::new(),
-            demand: vec![Sum::default(); classes],
-            rests_until: 0.0,
-        });
-        let new = wanted.iter().filter(|line| !slice.written.contains(line));
-        new.for_each(|line| orders.set_line(table, line.0, line.1));
-        let old = slice.written.iter().filter(|line| !wanted.iter().any(|l| l.0 == line.0));
-        old.for_each(|line| orders.set_line(table, line.0, 0.0));
-        slice.written = wanted;
+        let slice = self.slices.entry(table).or_insert_with(|| Slice::new(Vec::new(), 0));
+        slice.change(wanted).into_iter().for_each(|line| orders.set_line(table, line.0, line.1));
         let joined = round.streams.iter().filter(|change| change.up && self.proxies.contains(&change.proxy));
         joined.for_each(|change| orders.hand_table(table, change.proxy));
     }
 }
 
-fn slice_at(slices: &BTreeMap<SliceId, Slice>, id: SliceId) -> Option<HostId> {
-    slices.get(&id).and_then(|slice| slice.owner)
-}
-
 /// Weighted rendezvous hash: fixed, so that every steward and every restart agrees.
 fn rendezvous(slice: SliceId, host: HostId, weight: f64) -> f64 {
     let address = match host.0.ip() {
