A host without news goes back to its kind's usual speed

What is usual now counts for five operations. Covers any host left out for what it once did; might hurt where a host stays slow and unheard: it gets a slice to try.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,8 @@
 const DAY: Seconds = 86_400.0;
 /// Times its usual work that a slice costs a host that has not met its keys.
 const COLD_KEYS: f64 = 1.5;
+/// Operations that the usual speed counts for in a host's own: about what it completes in half a second.
+const USUAL_COUNTS: f64 = 5.0;
 /// Seconds an operation is taken to need before anything is known: too small to stop any placing.
 const UNKNOWN_SERVICE: Seconds = 0.01;
 /// Times the wait before a second try that a key's window must last: the first try may end late.
@@ -232,10 +234,11 @@
         (terms.cold_from + (1.0 - terms.cold_from) * grown).clamp(0.01, 1.0)
     }
 
-    /// Time one operation holds a core, without waiting.
-    fn service_time(&self, now: Seconds) -> Option<Seconds> {
-        let core_time = self.core_time.read(now, SPEED_MEMORY);
-        (core_time > 0.01).then(|| core_time / self.completed.read(now, SPEED_MEMORY).max(0.5))
+    /// Time one operation holds a core, without waiting. What is usual counts for a few operations: a host
+    /// that jammed and lost its slices would otherwise look slow for ever, as nothing new is heard of it.
+    fn service_time(&self, now: Seconds, usual: Seconds) -> Seconds {
+        let core_time = self.core_time.read(now, SPEED_MEMORY) + USUAL_COUNTS * usual;
+        core_time / (self.completed.read(now, SPEED_MEMORY) + USUAL_COUNTS)
     }
 
     /// Core time of an operation: the core seconds of an epoch over what it completed. With u operations in
@@ -488,7 +491,8 @@
     fn usual_service(&self, now: Seconds, kind: KindId) -> Seconds {
         let known = |alike: bool| {
             let some = self.hosts.values().filter(|host| !alike || host.kind == kind);
-            middle(some.filter_map(|host| host.service_time(now)).collect())
+            let heard = some.filter(|host| host.completed.read(now, SPEED_MEMORY) > USUAL_COUNTS);
+            middle(heard.map(|host| host.service_time(now, 0.0)).collect())
         };
         known(true).or_else(|| known(false)).unwrap_or(UNKNOWN_SERVICE)
     }
@@ -499,7 +503,7 @@
         let load = |(id, host): (&HostId, &Host)| {
             let warmth = host.warmth(now, &self.terms);
             let usual = self.usual_service(now, host.kind);
-            let known = host.service_time(now).unwrap_or(usual);
+            let known = host.service_time(now, usual);
             let capacity = host.weight.max(0.01) * warmth;
             let warm =
                 Load { demand: 0.0, service: known, capacity, fill: FULL, shed: f64::INFINITY, cold: false };
