--- a/src/brain.rs
+++ b/src/brain.rs
@@ -482,9 +482,9 @@
     }
 
     fn rate(&self, now: Seconds, slice: &Slice) -> f64 {
-        let admitted =
-            slice.demand.iter().zip(&self.levels).map(|(sum, level)| sum.read(now, MEMORY) * level);
-        admitted.sum::<f64>() / self.heard.read(now, MEMORY).max(0.01)
+        let by_class = slice.demand.iter().zip(&self.levels);
+        let admitted: f64 = by_class.map(|(sum, level)| sum.read(now, MEMORY) * level).sum();
+        admitted / self.heard.read(now, MEMORY).max(0.01)
     }
 
     /// The middle service time among hosts of a kind, or else among all.
@@ -505,8 +505,8 @@
             let usual = self.usual_service(now, host.kind);
             let known = host.service_time(now, usual);
             let capacity = host.weight.max(0.01) * warmth;
-            let warm =
-                Load { demand: 0.0, service: known, capacity, fill: FULL, shed: f64::INFINITY, cold: false };
+            let shed = f64::INFINITY;
+            let warm = Load { demand: 0.0, service: known, capacity, fill: FULL, shed, cold: false };
             // A host that has just started has met no keys, and its first reports flatter it.
             let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
             let cold = Load { service: known.max(usual), fill, shed, cold: true, ..warm };
@@ -548,10 +548,8 @@
 
     /// Slices of a host, the hottest first.
     fn slices_of(&self, now: Seconds, host: HostId) -> Vec<SliceId> {
-        let mut found: Vec<(f64, SliceId)> =
-            (self.slices.iter().filter(|(_, slice)| slice.owner == Some(host)))
-                .map(|(id, slice)| (self.rate(now, slice), *id))
-                .collect();
+        let held = self.slices.iter().filter(|(_, slice)| slice.owner == Some(host));
+        let mut found: Vec<_> = held.map(|(id, slice)| (self.rate(now, slice), *id)).collect();
         found.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         found.into_iter().map(|(_, id)| id).collect()
     }
@@ -579,8 +577,7 @@
             let owner = slice.owner;
             let heir = self.heir(id, self.rate(now, slice), loads);
             // A table may be empty only while every listed host is cold: what they can't hold is refused.
-            let proven =
-                |host: &HostId| self.hosts.get(host).is_some_and(|h| h.listed_warm(now, &self.terms));
+            let proven = |id: &HostId| self.hosts.get(id).is_some_and(|h| h.listed_warm(now, &self.terms));
             let heir = heir.or(owner.filter(proven)).or_else(|| self.hosts.keys().copied().find(proven));
             if heir != owner {
                 self.move_to(now, id, heir, loads);
@@ -598,8 +595,8 @@
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
         let classes = &self.terms.classes;
-        let contract_time =
-            classes.iter().map(|c| c.contract_time).sum::<f64>() / classes.len().max(1) as f64;
+        let total: Seconds = classes.iter().map(|class| class.contract_time).sum();
+        let contract_time = total / classes.len().max(1) as f64;
         for (id, host) in &mut self.hosts {
             host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
@@ -622,14 +619,13 @@
     /// Slices go back a few per turn, where they will be served faster than now.
     fn take_back(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>) {
         let mut taken: BTreeMap<HostId, usize> = BTreeMap::new();
-        let away: Vec<(SliceId, HostId)> =
-            self.slices.iter().filter_map(|(id, slice)| Some((*id, slice.home?))).collect();
+        let away: Vec<_> = self.slices.iter().filter_map(|(id, slice)| Some((*id, slice.home?))).collect();
         for (id, home) in away {
             let slice = &self.slices[&id];
             let more = self.rate(now, slice);
             let Some(load) = loads.get(&home).filter(|_| self.withdrawn != Some(home)) else { continue };
-            let here =
-                slice.owner.and_then(|owner| loads.get(&owner)).map_or(f64::INFINITY, |l| l.latency(0.0));
+            let owner = slice.owner.and_then(|owner| loads.get(&owner));
+            let here = owner.map_or(f64::INFINITY, |load| load.latency(0.0));
             let count = taken.entry(home).or_default();
             if *count < RETURNS_PER_TURN && now >= slice.rests_until && load.holds(more * COLD_KEYS) {
                 if load.latency(more * COLD_KEYS) < here {
@@ -667,8 +663,7 @@
                 if now < slice.rests_until || self.moves < 1.0 {
                     continue;
                 }
-                let others =
-                    loads.iter().filter(|(host, _)| **host != from && Some(**host) != self.withdrawn);
+                let others = loads.iter().filter(|(id, _)| **id != from && Some(**id) != self.withdrawn);
                 let open = others.filter(|(_, load)| !load.cold || load.holds(more * COLD_KEYS));
                 let after = |load: &Load| load.latency(more * COLD_KEYS);
                 let best = open.min_by(|a, b| after(a.1).total_cmp(&after(b.1)));
@@ -691,8 +686,9 @@
         }
         let capacity: f64 = loads.values().map(|load| load.capacity / load.service).sum();
         let heard = self.heard.read(now, MEMORY).max(0.01);
-        let offered =
-            |k: usize| self.slices.values().map(|s| s.demand[k].read(now, MEMORY) / heard).sum::<f64>();
+        let offered = |k: usize| -> f64 {
+            self.slices.values().map(|slice| slice.demand[k].read(now, MEMORY) / heard).sum()
+        };
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
