--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! A round takes in the news. Once a second it is also a turn, which judges hosts and moves slices.
 //! List news and health verdicts act at once. What changed leaves as one delta at the end.
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 #[cfg(test)]
 mod tests;
@@ -55,8 +55,8 @@
 const FULL: f64 = 0.75;
 /// Parts of the multiple that fells a cold host: what it is given of its present capacity, and past what it
 /// hands slices over again. Its work is misjudged by half at times; between the two nothing goes to and fro.
-const COLD_FILL: f64 = 0.2;
-const COLD_SHED: f64 = 0.35;
+const COLD_FILL: f64 = 0.3;
+const COLD_SHED: f64 = 0.4;
 /// Times its present demand for which a host's latency is expected: demand swings, and a fast host that is
 /// nearly full is only fast until then.
 const SWING: f64 = 1.3;
@@ -110,12 +110,12 @@
     failed: f64,
     time: Seconds,
     span: Seconds,
-    window: VecDeque<(Seconds, f64)>,
+    window: Vec<(Seconds, f64)>,
 }
 
 impl Pair {
     fn new() -> Pair {
-        Pair { score: 1.0, tries: 0.0, failed: 0.0, time: 0.0, span: 0.0, window: VecDeque::new() }
+        Pair { score: 1.0, tries: 0.0, failed: 0.0, time: 0.0, span: 0.0, window: Vec::new() }
     }
 
     /// One epoch. Without a report there is no evidence; a report over several epochs counts for each.
@@ -126,12 +126,10 @@
             self.score = next_score(self.score, self.tries, self.failed, (self.span / EPOCH).max(1.0));
         }
         if withdrawn || self.tries > 0.0 {
-            self.window.push_back((now, self.score));
+            self.window.push((now, self.score));
         }
         (self.tries, self.failed, self.time, self.span) = (0.0, 0.0, 0.0, 0.0);
-        while self.window.front().is_some_and(|(at, _)| *at < now - WINDOW) {
-            self.window.pop_front();
-        }
+        self.window.retain(|(at, _)| *at >= now - WINDOW);
     }
 }
 
@@ -329,7 +327,7 @@
     /// Seconds that the sums heard so far cover, decaying like them: a sum over this is a rate.
     heard: Sum,
     heard_at: Option<Seconds>,
-    sent: VecDeque<Seconds>,
+    sent: Vec<Seconds>,
     backlog: f64,
     backlog_at: Seconds,
 }
@@ -348,7 +346,7 @@
             moves_at: 0.0,
             heard: Sum::default(),
             heard_at: None,
-            sent: VecDeque::new(),
+            sent: Vec::new(),
             backlog: 0.0,
             backlog_at: 0.0,
             terms,
@@ -720,9 +718,7 @@
 
     /// Writes what differs from the standing tables, within the message allowance and the backlog.
     fn flush(&mut self, now: Seconds, urgent: bool, orders: &mut impl Orders) {
-        while self.sent.front().is_some_and(|at| *at < now - self.terms.update_span) {
-            self.sent.pop_front();
-        }
+        self.sent.retain(|at| *at >= now - self.terms.update_span);
         let cap = if self.terms.update_cap == 0 { usize::MAX } else { self.terms.update_cap as usize };
         let kept = if urgent { 1 } else { URGENT_MESSAGES };
         if self.sent.len() + kept >= cap {
@@ -766,7 +762,7 @@
             changed.for_each(|line| orders.set_line(*id, line.0, line.1));
         }
         if lines > 0 {
-            self.sent.push_back(now);
+            self.sent.push(now);
         } else {
             self.backlog = before;
         }
