While levels are down and few tries fail, hosts are filled more

Shedding made keys colder, so hosts looked smaller and more was shed. While a level is down the share let in grows by 0.02 a turn to 0.9, and shrinks again when over 1 % of tries fail. Covers any stretch with levels down; might hurt where failures show late, as in a deploy.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,7 @@
 const RATIO_THRESH: f64 = 0.1;
 /// Seconds without failure that take a score from 100 to 1: short, as troubles last tens of seconds.
 const MIN_TTR: Seconds = 12.0;
-/// Seconds of scores a host is judged on: short, since a day's troubles last tens of seconds.
+/// Seconds of scores a host is judged on: short for the same reason.
 const WINDOW: Seconds = 5.0;
 /// Share of the windowed scores below the representative one; the paper's figure.
 const PERCENTILE: f64 = 0.3;
@@ -38,9 +38,8 @@
 const MOVES_PER_TURN: usize = 6;
 /// Seconds a moved slice stays put: until reports show the effect.
 const REST: Seconds = 6.0;
-/// Moves a slice may make in one day on average, the daily cap on latency-led moves.
-const MOVES_A_DAY: f64 = 5000.0;
-const DAY: Seconds = 86_400.0;
+/// Moves a slice may make in a second on average, 5000 a day: the design's cap on latency-led moves.
+const MOVES_A_SECOND: f64 = 0.058;
 /// Times its usual work that a slice costs a host that has not met its keys.
 const COLD_KEYS: f64 = 1.5;
 /// Operations that the usual speed counts for in a host's own: about what it completes in half a second.
@@ -60,21 +59,23 @@
 /// Times its present demand for which a host's latency is expected: demand swings, and a fast host that is
 /// nearly full is only fast until then.
 const SWING: f64 = 1.3;
-/// Past this utilisation the latency curve goes on as a straight line, to stay finite.
+/// Past this utilisation the latency curve goes on as a line of this slope, close to its own, to stay finite.
 const STEEP: f64 = 0.95;
-/// Its slope there, of the order of the curve's own: a tenth more demand doubles the wait.
 const STEEPNESS: f64 = 10.0;
 /// Probes without answer that count as proof, when the process can't be reached or when it is silent.
 const SILENT_PROBES: u32 = 3;
 const UNREACHED_PROBES: u32 = 2;
-/// Answered probes that end the verdict.
-const ANSWERED_PROBES: u32 = 2;
 /// Seconds without a completed operation in any sum that go with silent probes: longer than a report's gap.
 const SILENT_SUMS: Seconds = 2.0;
 /// Share of the listed hosts that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
 const OVERLOAD: f64 = 0.7;
+/// While levels are down: the most of what hosts can do that is let in, how fast it grows in a turn, and the
+/// share of failed tries at which it shrinks again, well before scores would rise to a withdrawal.
+const PACKED: f64 = 0.9;
+const PACKING: f64 = 0.02;
+const PACKING_ENDS: f64 = 0.01;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
@@ -189,9 +190,8 @@
     completed: Sum,
     busy: Option<f64>,
     last_good: Seconds,
-    silent: u32,
-    unreached: u32,
-    answered: u32,
+    misses: u32,
+    unreached: bool,
     down: bool,
     lag_turns: u32,
 }
@@ -209,9 +209,8 @@
             completed: Sum::default(),
             busy: None,
             last_good: 0.0,
-            silent: 0,
-            unreached: 0,
-            answered: 0,
+            misses: 0,
+            unreached: false,
             down: false,
             lag_turns: 0,
         }
@@ -221,10 +220,6 @@
         self.phase == Phase::Ready && !self.down
     }
 
-    fn listed_warm(&self, now: Seconds, terms: &Terms) -> bool {
-        self.phase == Phase::Ready && self.started.is_none_or(|at| now - at >= terms.warm_within)
-    }
-
     /// What it can do now, as a share of what it can do warm.
     fn warmth(&self, now: Seconds, terms: &Terms) -> f64 {
         let Some(since) = self.cold_since else { return 1.0 };
@@ -321,6 +316,8 @@
     proxies: BTreeSet<ProxyId>,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
+    packed: f64,
+    fail_ratio: f64,
     levels_written: Vec<(f64, SecondTry)>,
     moves: f64,
     moves_at: Seconds,
@@ -340,6 +337,8 @@
             slices: BTreeMap::new(),
             proxies: BTreeSet::new(),
             withdrawn: None,
+            packed: OVERLOAD,
+            fail_ratio: 0.0,
             levels: vec![1.0; terms.classes.len()],
             levels_written: vec![(1.0, SecondTry::IfNeverRan); terms.classes.len()],
             moves: f64::from(terms.slices),
@@ -445,38 +444,35 @@
     /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't
     /// reach, or that is silent to them and in the sums, counts as gone. Tells whether a verdict changed.
     fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
-        let listed = self.hosts.values().filter(|host| host.phase == Phase::Ready).count();
-        let down = self.hosts.values().filter(|host| host.down && host.phase == Phase::Ready).count();
+        let ready = || self.hosts.values().filter(|host| host.phase == Phase::Ready);
+        let (listed, down) = (ready().count(), ready().filter(|host| host.down).count());
         let Some(host) = self.hosts.get_mut(&probe.host) else { return false };
         match probe.end {
             ProbeEnd::TurnedAway => return false,
-            ProbeEnd::Answered => (host.silent, host.answered) = (0, host.answered + 1),
-            ProbeEnd::Failed => (host.silent, host.answered) = (host.silent + 1, 0),
-            ProbeEnd::Unreachable => (host.unreached, host.answered) = (host.unreached + 1, 0),
-        }
-        if host.down {
-            host.down = host.answered < ANSWERED_PROBES;
-            if !host.down {
-                if host.unreached > 0 {
-                    host.cold_since = Some(now);
+            ProbeEnd::Answered => {
+                host.misses = 0;
+                if !host.down {
+                    return false;
                 }
-                host.unreached = 0;
+                host.down = false;
+                host.cold_since = if host.unreached { Some(now) } else { host.cold_since };
                 orders.note(&format!("host {} answers again", probe.host.0));
+                return true;
             }
-            return !host.down;
-        }
-        if probe.end == ProbeEnd::Answered {
-            host.unreached = 0;
-        } else if host.unreached > 0 && host.unreached < UNREACHED_PROBES {
-            orders.probe(probe.host);
-        }
-        let silent = host.silent >= SILENT_PROBES && now - host.last_good > SILENT_SUMS;
-        host.down = silent || host.unreached >= UNREACHED_PROBES;
-        host.down &= (down + 1) as f64 <= MOST_DOWN * listed as f64;
-        if host.down {
-            orders.note(&format!("host {} is down: probes fail", probe.host.0));
+            ProbeEnd::Failed | ProbeEnd::Unreachable => host.misses += 1,
+        }
+        host.unreached = probe.end == ProbeEnd::Unreachable;
+        let silent = host.misses >= SILENT_PROBES && now - host.last_good > SILENT_SUMS;
+        let proven = silent || host.unreached && host.misses >= UNREACHED_PROBES;
+        if host.down || !proven || (down + 1) as f64 > MOST_DOWN * listed as f64 {
+            if host.unreached && host.misses < UNREACHED_PROBES {
+                orders.probe(probe.host);
+            }
+            return false;
         }
-        host.down
+        host.down = true;
+        orders.note(&format!("host {} is down: probes fail", probe.host.0));
+        true
     }
 
     fn rate(&self, now: Seconds, slice: &Slice) -> f64 {
@@ -563,19 +559,20 @@
         let mut cold = Vec::new();
         for (host, load) in loads.iter().filter(|(_, load)| load.utilisation(0.0) > load.shed) {
             let mut left = *load;
-            for id in self.slices_of(now, *host) {
-                if !left.holds(0.0) {
-                    left.demand -= self.rate(now, &self.slices[&id]);
-                    cold.push(id);
-                }
-            }
+            cold.extend(self.slices_of(now, *host).into_iter().take_while(|id| {
+                let over = !left.holds(0.0);
+                left.demand -= self.rate(now, &self.slices[id]);
+                over
+            }));
         }
         for id in homeless.into_iter().chain(cold) {
             let slice = &self.slices[&id];
             let owner = slice.owner;
             let heir = self.heir(id, self.rate(now, slice), loads);
             // A table may be empty only while every listed host is cold: what they can't hold is refused.
-            let proven = |id: &HostId| self.hosts.get(id).is_some_and(|h| h.listed_warm(now, &self.terms));
+            let warm = |at: Seconds| now - at >= self.terms.warm_within;
+            let ready = |h: &Host| h.phase == Phase::Ready && h.started.is_none_or(warm);
+            let proven = |id: &HostId| self.hosts.get(id).is_some_and(ready);
             let heir = heir.or(owner.filter(proven)).or_else(|| self.hosts.keys().copied().find(proven));
             if heir != owner {
                 self.move_to(now, id, heir, loads);
@@ -595,6 +592,9 @@
         let classes = &self.terms.classes;
         let total: Seconds = classes.iter().map(|class| class.contract_time).sum();
         let contract_time = total / classes.len().max(1) as f64;
+        let pairs = self.hosts.values().flat_map(|host| host.pairs.values());
+        let (tries, failed) = pairs.fold((1.0, 0.0), |sum, pair| (sum.0 + pair.tries, sum.1 + pair.failed));
+        self.fail_ratio = failed / tries;
         for (id, host) in &mut self.hosts {
             host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
@@ -642,7 +642,7 @@
     /// the lowest latency; a cooler one if that would only carry the lag along.
     fn follow_latency(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>) {
         let full = f64::from(self.terms.slices);
-        self.moves = (self.moves + (now - self.moves_at) * MOVES_A_DAY * full / DAY).min(full);
+        self.moves = (self.moves + (now - self.moves_at) * MOVES_A_SECOND * full).min(full);
         self.moves_at = now;
         let Some(middle) = middle(loads.values().map(|load| load.latency(0.0)).collect()) else { return };
         let mut lagging = Vec::new();
@@ -690,7 +690,11 @@
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
-        let mut room = capacity * OVERLOAD;
+        // Fewer operations leave colder keys and so less capacity: while few tries fail, fill hosts more.
+        let short = self.levels.iter().any(|level| *level < 1.0);
+        let step = if self.fail_ratio > PACKING_ENDS { -PACKING } else { PACKING };
+        self.packed = if short { (self.packed + step).clamp(OVERLOAD, PACKED) } else { OVERLOAD };
+        let mut room = capacity * self.packed;
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
             room = (room - offered(k)).max(0.0);
@@ -727,17 +731,15 @@
         let drained = (now - self.backlog_at) * self.terms.push_rate * SLOW_CHANNEL;
         (self.backlog, self.backlog_at) = ((self.backlog - drained).max(0.0), now);
         let proxies = self.proxies.len().max(1) as f64;
-        let before = self.backlog;
-        self.backlog += proxies * (self.terms.envelope + self.levels.len() as f64);
-        let mut lines = 0;
+        let empty = self.backlog + proxies * (self.terms.envelope + self.levels.len() as f64);
+        let mut backlog = empty;
         // Further tries would feed an overload, so they end with the first level that falls.
         let calm = self.levels.iter().all(|level| *level == 1.0);
         for (k, written) in self.levels_written.iter_mut().enumerate() {
             let again = self.terms.classes[k].may_repeat(self.terms.first_wait);
             let wanted = (self.levels[k], if calm { again } else { SecondTry::Never });
             if *written != wanted {
-                lines += 1;
-                self.backlog += proxies;
+                backlog += proxies;
                 orders.set_level(ClassId(k as u8), wanted.0, wanted.1);
                 *written = wanted;
             }
@@ -751,20 +753,18 @@
                 continue;
             }
             let cost = proxies * (wanted.len() + slice.written.len()) as f64;
-            if self.backlog + cost > self.terms.backlog * BACKLOG_USE {
+            if backlog + cost > self.terms.backlog * BACKLOG_USE {
                 break;
             }
-            self.backlog += cost;
-            lines += 1;
+            backlog += cost;
             // An exclusive table has one line: a new owner takes the old one's place by itself.
             let removes = !self.terms.exclusive;
             let changed = slice.change(wanted).into_iter().filter(|line| removes || line.1 > 0.0);
             changed.for_each(|line| orders.set_line(*id, line.0, line.1));
         }
-        if lines > 0 {
+        if backlog > empty {
             self.sent.push(now);
-        } else {
-            self.backlog = before;
+            self.backlog = backlog;
         }
     }
 
