Forget a jam when a host serves again, while levels are down; shorter return

A host without failures at 0.8 of its remembered core time keeps 0.3 of the memory. Covers any recovery under levels; might hurt where an epoch is fast by luck.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 const GAP: f64 = 30.0;
 /// Score at which a withdrawn host is trusted again: under the gap, or it would be the outlier again at once.
 const RETURN_SCORE: f64 = 25.0;
-/// Slices that return to a host in one turn: a few, so that a relapse costs little.
+/// Slices that return in one turn: a few, so that a relapse costs little.
 const RETURNS_PER_TURN: usize = 2;
 /// Seconds over which demand and times are averaged: some tens of operations a host.
 const MEMORY: Seconds = 4.0;
@@ -44,6 +44,10 @@
 const COLD_KEYS: f64 = 1.5;
 /// Operations that the usual speed counts for in a host's own: about what it completes in half a second.
 const USUAL_COUNTS: f64 = 5.0;
+/// Share of the remembered core time at which a host without failures is seen to have recovered, and what is
+/// then kept of the memory, in one turn: two or three such turns end it.
+const RECOVERED: f64 = 0.8;
+const FORGOTTEN: f64 = 0.3;
 /// Seconds an operation is taken to need before anything is known: too small to stop any placing.
 const UNKNOWN_SERVICE: Seconds = 0.01;
 /// Times the wait before a second try that a key's window must last: the first try may end late.
@@ -237,7 +241,7 @@
     /// Core time of an operation: the core seconds of an epoch over what it completed. With u operations in
     /// hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores;
     /// where hosts report it, it needs no guess.
-    fn learn_speed(&mut self, now: Seconds, warmth: f64, contract_time: Seconds) {
+    fn learn_speed(&mut self, now: Seconds, short: bool, warmth: f64, contract_time: Seconds) {
         let span = self.pairs.values().map(|pair| pair.span).fold(0.0, f64::max);
         let busy = self.busy.take();
         if span <= 0.0 {
@@ -248,8 +252,14 @@
         let size = self.weight.max(0.01) * warmth;
         let in_hand = (total(|pair| pair.time) + failed * contract_time) / span / size;
         let busy = busy.map_or(in_hand / in_hand.hypot(1.0), |reported| reported.clamp(0.01, 1.0));
-        self.core_time.add(now, busy * size * span, SPEED_MEMORY);
-        self.completed.add(now, total(|pair| pair.tries) - failed, SPEED_MEMORY);
+        let (core_time, completed) = (busy * size * span, total(|pair| pair.tries) - failed);
+        // Guards against the memory of a jam, in which cores were busy with what nobody waited for any more.
+        if short && failed == 0.0 && core_time < RECOVERED * completed * self.service_time(now, 0.0) {
+            self.core_time.value *= FORGOTTEN;
+            self.completed.value *= FORGOTTEN;
+        }
+        self.core_time.add(now, core_time, SPEED_MEMORY);
+        self.completed.add(now, completed, SPEED_MEMORY);
     }
 }
 
@@ -499,8 +509,8 @@
             let usual = self.usual_service(now, host.kind);
             let known = host.service_time(now, usual);
             let capacity = host.weight.max(0.01) * warmth;
-            let shed = f64::INFINITY;
-            let warm = Load { demand: 0.0, service: known, capacity, fill: FULL, shed, cold: false };
+            let warm =
+                Load { demand: 0.0, service: known, capacity, fill: FULL, shed: f64::MAX, cold: false };
             // A host that has just started has met no keys, and its first reports flatter it.
             let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
             let cold = Load { service: known.max(usual), fill, shed, cold: true, ..warm };
@@ -536,7 +546,7 @@
         if let Some(load) = to.and_then(|host| loads.get_mut(&host)) {
             load.demand += more;
         }
-        slice.owner = to;
+        (slice.owner, slice.home) = (to, None);
         slice.rests_until = now + REST;
     }
 
@@ -567,7 +577,7 @@
         }
         for id in homeless.into_iter().chain(cold) {
             let slice = &self.slices[&id];
-            let owner = slice.owner;
+            let (owner, home) = (slice.owner, slice.home.or(slice.owner));
             let heir = self.heir(id, self.rate(now, slice), loads);
             // A table may be empty only while every listed host is cold: what they can't hold is refused.
             let warm = |at: Seconds| now - at >= self.terms.warm_within;
@@ -576,8 +586,7 @@
             let heir = heir.or(owner.filter(proven)).or_else(|| self.hosts.keys().copied().find(proven));
             if heir != owner {
                 self.move_to(now, id, heir, loads);
-                let slice = self.slices.get_mut(&id).expect("known above");
-                slice.home = slice.home.or(owner);
+                self.slices.get_mut(&id).expect("known above").home = home;
                 moved += 1;
             }
         }
@@ -593,10 +602,11 @@
         let total: Seconds = classes.iter().map(|class| class.contract_time).sum();
         let contract_time = total / classes.len().max(1) as f64;
         let pairs = self.hosts.values().flat_map(|host| host.pairs.values());
-        let (tries, failed) = pairs.fold((1.0, 0.0), |sum, pair| (sum.0 + pair.tries, sum.1 + pair.failed));
-        self.fail_ratio = failed / tries;
+        let sums = pairs.fold((1.0, 0.0), |sums, pair| (sums.0 + pair.tries, sums.1 + pair.failed));
+        self.fail_ratio = sums.1 / sums.0;
+        let short = self.levels.iter().any(|level| *level < 1.0);
         for (id, host) in &mut self.hosts {
-            host.learn_speed(now, host.warmth(now, &self.terms), contract_time);
+            host.learn_speed(now, short, host.warmth(now, &self.terms), contract_time);
             let withdrawn = self.withdrawn == Some(*id);
             host.pairs.values_mut().for_each(|pair| pair.epoch(now, withdrawn));
             let window = host.pairs.values().flat_map(|pair| pair.window.iter().map(|(_, score)| *score));
@@ -616,24 +626,17 @@
 
     /// Slices go back a few per turn, where they will be served faster than now.
     fn take_back(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>) {
-        let mut taken: BTreeMap<HostId, usize> = BTreeMap::new();
+        let mut left = RETURNS_PER_TURN;
         let away: Vec<_> = self.slices.iter().filter_map(|(id, slice)| Some((*id, slice.home?))).collect();
         for (id, home) in away {
             let slice = &self.slices[&id];
-            let more = self.rate(now, slice);
-            let Some(load) = loads.get(&home).filter(|_| self.withdrawn != Some(home)) else { continue };
+            let more = self.rate(now, slice) * COLD_KEYS;
             let owner = slice.owner.and_then(|owner| loads.get(&owner));
             let here = owner.map_or(f64::INFINITY, |load| load.latency(0.0));
-            let count = taken.entry(home).or_default();
-            if *count < RETURNS_PER_TURN && now >= slice.rests_until && load.holds(more * COLD_KEYS) {
-                if load.latency(more * COLD_KEYS) < here {
-                    *count += 1;
-                    self.move_to(now, id, Some(home), loads);
-                }
-                let slice = self.slices.get_mut(&id).expect("listed above");
-                if !loads[&home].cold || slice.owner == Some(home) {
-                    slice.home = None;
-                }
+            let better = loads.get(&home).is_some_and(|load| load.holds(more) && load.latency(more) < here);
+            if better && left > 0 && self.withdrawn != Some(home) && now >= slice.rests_until {
+                left -= 1;
+                self.move_to(now, id, Some(home), loads);
             }
         }
     }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -369,3 +369,27 @@
     steward.round(&round, &mut Written::default());
     assert_eq!(steward.slices.len(), 12);
 }
+
+#[test]
+fn a_jam_is_forgotten_while_levels_are_down_and_a_host_serves_without_failures() {
+    // Incident ibe0637: hosts were held slow for 20 s after a jam, and half of the operations refused.
+    let slow = |short| {
+        let mut host = Host::new(&listed(1, Phase::Ready, None));
+        host.core_time = Sum { value: 40.0, at: 10.0 };
+        host.completed = Sum { value: 40.0, at: 10.0 };
+        host.pairs.insert(ZoneId(0), Pair { tries: 20.0, time: 2.0, span: 1.0, ..Pair::new() });
+        host.learn_speed(10.0, short, 1.0, 1.0);
+        host.service_time(10.0, 0.1)
+    };
+    assert!(slow(true) < 0.6 * slow(false));
+}
+
+#[test]
+fn a_host_without_news_goes_back_to_the_usual_speed() {
+    // Hosts that jammed at the start had no slices and no reports, and were left out for the day.
+    let mut host = Host::new(&listed(1, Phase::Ready, None));
+    host.core_time = Sum { value: 50.0, at: 10.0 };
+    host.completed = Sum { value: 50.0, at: 10.0 };
+    assert!(host.service_time(10.0, 0.1) > 0.9);
+    assert!(host.service_time(10.0 + 6.0 * SPEED_MEMORY, 0.1) < 0.13);
+}
