--- a/src/brain.rs
+++ b/src/brain.rs
@@ -507,13 +507,12 @@
         let load = |(id, host): (&HostId, &Host)| {
             let warmth = host.warmth(now, &self.terms);
             let usual = self.usual_service(now, host.kind);
-            let known = host.service_time(now, usual);
+            let service = host.service_time(now, usual);
             let capacity = host.weight.max(0.01) * warmth;
-            let warm =
-                Load { demand: 0.0, service: known, capacity, fill: FULL, shed: f64::MAX, cold: false };
+            let warm = Load { demand: 0.0, service, capacity, fill: FULL, shed: f64::MAX, cold: false };
             // A host that has just started has met no keys, and its first reports flatter it.
             let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
-            let cold = Load { service: known.max(usual), fill, shed, cold: true, ..warm };
+            let cold = Load { service: service.max(usual), fill, shed, cold: true, ..warm };
             (*id, if warmth < 1.0 { cold } else { warm })
         };
         let mut loads: BTreeMap<HostId, Load> = usable.map(load).collect();
@@ -774,14 +773,13 @@
     /// Without slices: one table of all usable hosts, handed to each proxy that joins.
     fn one_table(&mut self, now: Seconds, round: &Round, orders: &mut impl Orders) {
         let table = SliceId(0);
-        let mut wanted: Vec<(HostId, f64)> = (self.hosts.iter().filter(|(_, host)| host.usable()))
-            .map(|(id, host)| {
-                (*id, (host.weight.max(0.01) * host.warmth(now, &self.terms) * 10.0).ceil() / 10.0)
-            })
-            .collect();
-        let listed = self.hosts.iter().filter(|(_, host)| host.phase == Phase::Ready);
+        let weight =
+            |host: &Host| (10.0 * host.weight * host.warmth(now, &self.terms)).max(0.1).ceil() / 10.0;
+        let usable = self.hosts.iter().filter(|(_, host)| host.usable());
+        let mut wanted: Vec<_> = usable.map(|(id, host)| (*id, weight(host))).collect();
         if wanted.is_empty() {
-            wanted = listed.map(|(id, host)| (*id, host.weight.max(0.01))).collect();
+            let listed = self.hosts.iter().filter(|(_, host)| host.phase == Phase::Ready);
+            wanted = listed.map(|(id, host)| (*id, weight(host))).collect();
         }
         let slice = self.slices.entry(table).or_insert_with(|| Slice::new(Vec::new(), 0));
         slice.change(wanted).into_iter().for_each(|line| orders.set_line(table, line.0, line.1));
