Nobody is withdrawn while levels are down

Covers every shortage; might hurt where one bad host causes it: levels then fall until placement has emptied it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -594,7 +594,8 @@
         }
     }
 
-    /// The design's epoch: scores, the outlier test, and at most one host withdrawn.
+    /// The design's epoch: scores, the outlier test, and at most one host withdrawn, but none while levels
+    /// are down: its heirs would have no room, and a poor host is better than a jam.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
         let classes = &self.terms.classes;
@@ -617,7 +618,7 @@
                 self.withdrawn = None;
                 orders.note(&format!("withdrawal of {} ends", host.0));
             }
-        } else if let Some(host) = outlier(&scores) {
+        } else if let Some(host) = outlier(&scores).filter(|_| !short) {
             self.withdrawn = Some(host);
             orders.note(&format!("host {} is the outlier: withdrawn", host.0));
         }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -393,3 +393,15 @@
     assert!(host.service_time(10.0, 0.1) > 0.9);
     assert!(host.service_time(10.0 + 6.0 * SPEED_MEMORY, 0.1) < 0.13);
 }
+
+#[test]
+fn nobody_is_withdrawn_while_levels_are_down() {
+    // A zone loss on ishikari-labels: the best of six hosts left was withdrawn and the rest jammed.
+    let mut steward = steward(terms());
+    (1..12).for_each(|k| {
+        steward.levels[0] = 0.5;
+        steward.round(&failing(100.0 + f64::from(k), 2), &mut Written::default());
+        steward.levels[0] = 0.5;
+    });
+    assert_eq!(steward.withdrawn, None);
+}
