--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -39,17 +39,17 @@
     let terms = Terms {
         classes,
         slices: line.get("family_info.key_ranges")?,
-        exclusive: line.flag("family_info.exclusive")?,
+        single_owner: line.flag("family_info.exclusive")?,
         may_probe: line.flag("ceilings.probes")?,
         levels_by_share: line.text("family_info.throttle_by")? == "share",
         cold_from: line.amount("rules.cold_from")?,
         warm_within: line.seconds("rules.warm_within_us")?,
         fall_multiple: line.amount("rules.fall_multiple")?,
         backlog: line.amount("family_info.backlog")?,
-        push_rate: line.amount("family_info.push_rate")?,
-        envelope: line.amount("family_info.envelope")?,
-        update_cap: line.get("family_info.update_cap")?,
-        update_span: line.seconds("family_info.messages_over_us")?,
+        channel_pace: line.amount("family_info.push_rate")?,
+        message_cost: line.amount("family_info.envelope")?,
+        message_cap: line.get("family_info.update_cap")?,
+        messages_span: line.seconds("family_info.messages_over_us")?,
         first_wait: line.amount("family_info.first_wait")?,
     };
     Ok((terms, names))
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -725,16 +725,16 @@
 
     /// Writes what differs from the standing tables, within the message allowance and the backlog.
     fn flush(&mut self, now: Seconds, urgent: bool, orders: &mut impl Orders) {
-        self.sent.retain(|at| *at >= now - self.terms.update_span);
-        let cap = if self.terms.update_cap == 0 { usize::MAX } else { self.terms.update_cap as usize };
+        self.sent.retain(|at| *at >= now - self.terms.messages_span);
+        let cap = if self.terms.message_cap == 0 { usize::MAX } else { self.terms.message_cap as usize };
         let kept = if urgent { 1 } else { URGENT_MESSAGES };
         if self.sent.len() + kept >= cap {
             return;
         }
-        let drained = (now - self.backlog_at) * self.terms.push_rate * SLOW_CHANNEL;
+        let drained = (now - self.backlog_at) * self.terms.channel_pace * SLOW_CHANNEL;
         (self.backlog, self.backlog_at) = ((self.backlog - drained).max(0.0), now);
         let proxies = self.proxies.len().max(1) as f64;
-        let empty = self.backlog + proxies * (self.terms.envelope + self.levels.len() as f64);
+        let empty = self.backlog + proxies * (self.terms.message_cost + self.levels.len() as f64);
         let mut backlog = empty;
         // Further tries would feed an overload, so they end with the first level that falls.
         let calm = self.levels.iter().all(|level| *level == 1.0);
@@ -749,7 +749,7 @@
         }
         for (id, slice) in &mut self.slices {
             let mut wanted: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
-            if !self.terms.exclusive {
+            if !self.terms.single_owner {
                 wanted.extend(slice.standby.filter(|_| slice.owner.is_some()).map(|host| (host, STANDBY)));
             }
             if wanted == slice.written {
@@ -760,8 +760,8 @@
                 break;
             }
             backlog += cost;
-            // An exclusive table has one line: a new owner takes the old one's place by itself.
-            let removes = !self.terms.exclusive;
+            // A single-owner table has one line: a new owner takes the old one's place by itself.
+            let removes = !self.terms.single_owner;
             let changed = slice.change(wanted).into_iter().filter(|line| removes || line.1 > 0.0);
             changed.for_each(|line| orders.set_line(*id, line.0, line.1));
         }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -38,17 +38,17 @@
     Terms {
         classes: vec![class(Repeat::Safe, 1.0), class(Repeat::Never, 5.0)],
         slices: 12,
-        exclusive: false,
+        single_owner: false,
         may_probe: true,
         levels_by_share: true,
         cold_from: 0.2,
         warm_within: 10.0,
         fall_multiple: 2.5,
         backlog: 100_000.0,
-        push_rate: 10_000.0,
-        envelope: 8.0,
-        update_cap: 20,
-        update_span: 10.0,
+        channel_pace: 10_000.0,
+        message_cost: 8.0,
+        message_cap: 20,
+        messages_span: 10.0,
         first_wait: 1.0,
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,7 +45,7 @@
     /// 0: operations are not cut into slices; the steward lays out tables of its own.
     pub slices: u16,
     /// A slice's table has one line, its owner.
-    pub exclusive: bool,
+    pub single_owner: bool,
     pub may_probe: bool,
     pub levels_by_share: bool,
     /// Least share of its capacity a host starts with, and the longest it takes to be warm.
@@ -54,11 +54,11 @@
     pub fall_multiple: f64,
     /// Lines that may wait in the channel, lines it sends in a second, lines a message costs on top.
     pub backlog: f64,
-    pub push_rate: f64,
-    pub envelope: f64,
+    pub channel_pace: f64,
+    pub message_cost: f64,
     /// Messages to one proxy within a span; 0: no such limit.
-    pub update_cap: u32,
-    pub update_span: Seconds,
+    pub message_cap: u32,
+    pub messages_span: Seconds,
     /// Before a try that may be followed is given up: times the contract time.
     pub first_wait: f64,
 }
