--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -70,10 +70,10 @@
         *has_news = true;
         match line.name {
             "ENDPOINTS" => {
-                let whole = matches!(line.text("how")?, "total" | "warm_copy");
-                round.lists.push(HostList { whole, entries: Vec::new() });
-                if line.text("how")? == "lost" {
-                    round.lists.pop();
+                let how = line.text("how")?;
+                if how != "lost" {
+                    let whole = matches!(how, "total" | "warm_copy");
+                    round.lists.push(HostList { whole, entries: Vec::new() });
                 }
             }
             "ITEM" => {
