Silence needs failed sums: missing reports prove nothing at few report lines a second

Now sums must show tries that all failed. Might hurt for a host that hangs without any traffic: it holds nothing then.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,7 @@
 /// Probes without answer that count as proof, when the process can't be reached or when it is silent.
 const SILENT_PROBES: u32 = 3;
 const UNREACHED_PROBES: u32 = 2;
-/// Seconds without a completed operation in any sum that go with silent probes: longer than a report's gap.
+/// Seconds without a completed operation, while sums show failed ones, that go with silent probes.
 const SILENT_SUMS: Seconds = 2.0;
 /// Share of the listed hosts that ever served that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
@@ -161,6 +161,7 @@
     core_time: Sum,
     completed: Sum,
     last_good: Seconds,
+    last_bad: Seconds,
     misses: u32,
     unreached: bool,
     down: bool,
@@ -397,9 +398,7 @@
     fn hear_tries(&mut self, now: Seconds, sum: &TrySum) {
         let size = self.hosts.get(&sum.host).map_or(0.0, |host| self.part_of(now, host));
         let Some(host) = self.hosts.get_mut(&sum.host) else { return };
-        if sum.tries > sum.failed {
-            host.last_good = now;
-        }
+        *(if sum.tries > sum.failed { &mut host.last_good } else { &mut host.last_bad }) = now;
         let classes = &self.terms.classes;
         let total: Seconds = classes.iter().map(|class| class.contract_time).sum();
         host.learn_speed(now, sum, size, total / classes.len().max(1) as f64);
@@ -424,7 +423,8 @@
     }
 
     /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't
-    /// reach, or that is silent to them and in the sums, counts as gone. Tells whether a verdict changed.
+    /// reach, or that is silent to them and fails all tries in the sums, counts as gone. Sums that are missing
+    /// prove nothing: a report may be seconds away. Tells whether a verdict changed.
     fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
         let served = || self.hosts.values().filter(|host| host.phase == Phase::Ready && host.last_good > 0.0);
         let (all, down) = (served().count(), served().filter(|host| host.down).count());
@@ -444,7 +444,8 @@
             ProbeEnd::Failed | ProbeEnd::Unreachable => host.misses += 1,
         }
         host.unreached = probe.end == ProbeEnd::Unreachable;
-        let silent = host.misses >= SILENT_PROBES && now - host.last_good > SILENT_SUMS;
+        let bad_sums = host.last_bad > host.last_good && now - host.last_good > SILENT_SUMS;
+        let silent = host.misses >= SILENT_PROBES && bad_sums;
         let proven = silent || host.unreached && host.misses >= UNREACHED_PROBES;
         let most = !host.dropped && (down + 1) as f64 > MOST_DOWN * all as f64;
         if host.down || !proven || most {
