--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,8 +35,8 @@
 const LAG_TURNS: u32 = 2;
 /// Share of the lag a move must take away to be worth cold keys.
 const WORTH_MOVING: f64 = 0.1;
-/// Moves in one turn: latencies are stale by a report, so only a few at a time.
-const MOVES_PER_TURN: usize = 6;
+/// Share of the hosts that may give up a slice in one turn: latencies are stale by a report, so not all.
+const MOVES_PER_TURN: f64 = 0.3;
 /// Seconds a moved slice stays put: until reports show the effect.
 const REST: Seconds = 6.0;
 /// Moves a slice may make in a second on average, 5000 a day: the design's cap on latency-led moves.
@@ -634,7 +634,7 @@
             }
         }
         lagging.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for (latency, from) in lagging.into_iter().take(MOVES_PER_TURN) {
+        for (latency, from) in lagging.into_iter().take((MOVES_PER_TURN * loads.len() as f64) as usize + 1) {
             for id in self.slices_of(from) {
                 let slice = &self.slices[&id];
                 let more = self.rate(slice);
