Tries that may have run are followed only while hosts have room

They now need utilisation under 0.5; proven ones go on until a level falls. Holds against any slowness that makes tries end late; may hurt where answers are lost on a full fleet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,6 +72,9 @@
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
 const OVERLOAD: f64 = 0.7;
+/// Utilisation of all hosts together up to which a try that may have run is followed: beyond it the second
+/// try takes what other operations need.
+const RETRY_ROOM: f64 = 0.5;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
@@ -295,6 +298,8 @@
     proxies: BTreeSet<ProxyId>,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
+    /// Part of what hosts can do that is asked for.
+    filled: f64,
     levels_written: Vec<(f64, SecondTry)>,
     moves: f64,
     moves_at: Seconds,
@@ -667,6 +672,7 @@
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
+        self.filled = (0..self.terms.classes.len()).map(offered).sum::<f64>() / capacity.max(0.01);
         let mut room = capacity * OVERLOAD;
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
@@ -729,11 +735,12 @@
         // Each message bears the mark and all levels besides its lines.
         let empty = self.terms.message_cost + 1.0 + self.levels.len() as f64;
         let mut lines = empty;
-        // Further tries would feed an overload, so they end with the first level that falls.
+        // Further tries would feed an overload: only proven ones go on, and none once a level falls.
         let calm = self.levels.iter().all(|level| *level == 1.0);
+        let most = if calm { SecondTry::IfNeverRan } else { SecondTry::Never };
         for (k, written) in self.levels_written.iter_mut().enumerate() {
             let again = self.terms.classes[k].may_repeat(self.terms.first_wait);
-            let wanted = (self.levels[k], if calm { again } else { SecondTry::Never });
+            let wanted = (self.levels[k], if calm && self.filled < RETRY_ROOM { again } else { most });
             if *written != wanted {
                 lines += 1.0;
                 orders.set_level(ClassId(k as u8), wanted.0, wanted.1);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -341,6 +341,21 @@
     assert!(written.levels.iter().all(|level| level.2 == SecondTry::Never));
 }
 
+#[test]
+fn a_try_that_may_have_run_is_followed_only_while_hosts_have_room() {
+    // Incident i9b6696: second tries took a growing fleet from two thirds of what it could do into a jam.
+    for (each, way) in [(3.0, SecondTry::AfterFailure), (8.5, SecondTry::IfNeverRan)] {
+        let mut steward = steward(terms());
+        work(&mut steward, 101.0, each, 0.1);
+        steward.levels_written[0].1 = SecondTry::Never;
+        let loads = steward.loads(101.0);
+        steward.set_levels(&loads);
+        let mut written = Written::default();
+        steward.flush(101.0, &mut written);
+        assert_eq!(written.levels[0], (ClassId(0), 1.0, way));
+    }
+}
+
 #[test]
 fn repeats_that_could_take_effect_twice_are_never_ordered() {
     assert_eq!(class(Repeat::Never, 1.0).may_repeat(1.0), SecondTry::IfNeverRan);
