Hosts that must be left are shut out at once; standbys serve until tables follow

One line a proxy now shuts a lost host out of all tables, its part goes to the standby (the design's replica), and ordinary lines may fill half the backlog. Might hurt where a host answers again and the order to open it is lost: it is said again to a proxy that comes back, and for all hosts after a steward's restart.

--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -89,9 +89,16 @@
             "CONFIRMED" => round
                 .confirmed
                 .push(Confirmed { proxy: ProxyId(line.get("edge")?), mark: MarkId(line.get("rev")?) }),
-            "SUBSCRIBED" | "STREAM_DOWN" => round
-                .streams
-                .push(StreamChange { proxy: ProxyId(line.get("edge")?), up: line.name == "SUBSCRIBED" }),
+            "SUBSCRIBED" => round.streams.push(StreamChange {
+                proxy: ProxyId(line.get("edge")?),
+                up: true,
+                first: line.flag("on")?,
+            }),
+            "STREAM_DOWN" => round.streams.push(StreamChange {
+                proxy: ProxyId(line.get("edge")?),
+                up: false,
+                first: false,
+            }),
             "HEARD" => {
                 let sum = heard(line, names)?;
                 round.tries.push(sum);
@@ -217,6 +224,9 @@
         let only = 1u64 << class.0;
         let _ = writeln!(self.out, "THROTTLE sheet=65535 only={only} amount={share} second_try={how}");
     }
+    fn shut_out(&mut self, host: HostId, out: bool) {
+        let _ = writeln!(self.out, "BENCH host={} on={}", host.0, u8::from(out));
+    }
     fn mark(&mut self, mark: MarkId) {
         let _ = writeln!(self.out, "BARRIER rev={} on=0", mark.0);
     }
@@ -305,6 +315,7 @@
         writer.set_line(SliceId(1), host, 0.5);
         writer.hand_table(SliceId(0), ProxyId(4));
         writer.set_level(ClassId(1), 0.75, SecondTry::AfterFailure);
+        writer.shut_out(host, true);
         writer.mark(MarkId(65535));
         writer.probe(host);
         writer.wake(0.5, TimerId(9));
@@ -313,6 +324,7 @@
             "SET_LINE sheet=1 host=10.0.0.1:80 w=0.5",
             "HAND_TABLE sheet=0 only=0 edge=4",
             "THROTTLE sheet=65535 only=2 amount=0.75 second_try=2",
+            "BENCH host=10.0.0.1:80 on=1",
             "BARRIER rev=65535 on=0",
             "INSPECT host=10.0.0.1:80",
             "AFTER in_us=500000 ref=9",
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,8 +57,7 @@
 /// hands slices over again. Its work is misjudged by half at times; between the two nothing goes to and fro.
 const COLD_FILL: f64 = 0.3;
 const COLD_SHED: f64 = 0.4;
-/// Times its present demand for which a host's latency is expected: demand swings, and a fast host that is
-/// nearly full is only fast until then.
+/// Times its present demand for which a host's latency is expected: demand swings, and nearly full hosts tip.
 const SWING: f64 = 1.3;
 /// Past this utilisation the latency curve goes on as a line of this slope, close to its own, to stay finite.
 const STEEP: f64 = 0.95;
@@ -72,8 +71,7 @@
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
 const OVERLOAD: f64 = 0.7;
-/// Utilisation of all hosts together up to which a try that may have run is followed: beyond it the second
-/// try takes what other operations need.
+/// Utilisation up to which tries that may have run are followed: past it they take room that others need.
 const RETRY_ROOM: f64 = 0.5;
 /// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
 const LEVEL_FALL: f64 = 0.3;
@@ -84,7 +82,7 @@
 const URGENT_MESSAGES: usize = 6;
 /// Share of the backlog limit that deltas may fill, and ordinary ones: what is urgent must not wait long.
 const BACKLOG_USE: f64 = 0.9;
-const ORDINARY_USE: f64 = 0.3;
+const ORDINARY_USE: f64 = 0.5;
 
 /// The design's AIMD score of a host as one zone's proxies see it.
 #[derive(Default)]
@@ -135,11 +133,10 @@
     /// The widest way of trying again that can't take effect twice: a keyed operation only where every host
     /// drops the repeat, and with time to spare in the window that the first try opened.
     fn may_repeat(&self, first_wait: f64) -> SecondTry {
+        let long = KEY_SLACK * first_wait * self.contract_time;
         match self.repeat {
             Repeat::Safe => SecondTry::AfterFailure,
-            Repeat::KeyedEverywhere(window) if window >= KEY_SLACK * first_wait * self.contract_time => {
-                SecondTry::AfterFailure
-            }
+            Repeat::KeyedEverywhere(window) if window >= long => SecondTry::AfterFailure,
             Repeat::KeyedEverywhere(_) | Repeat::KeyedNearby | Repeat::Never => SecondTry::IfNeverRan,
         }
     }
@@ -202,10 +199,9 @@
         core_time / (self.completed.read(now, SPEED_MEMORY) + USUAL_COUNTS)
     }
 
-    /// Core time of an operation: the core seconds that a zone's operations took over what it completed. With
-    /// u operations in hand a unit of present size, the busy share is close to u / sqrt(1 + u^2) for machines
-    /// of a few cores; where hosts report it, it needs no guess. Zones report apart and share it by what they
-    /// have in hand.
+    /// Core time of an operation: core seconds over completions. With u operations in hand a unit of present
+    /// size, the busy share is close to u / sqrt(1 + u^2) for machines of a few cores; where hosts report it,
+    /// it needs no guess. Zones report apart and share it by what they have in hand.
     fn learn_speed(&mut self, now: Seconds, sum: &TrySum, size: f64, contract_time: Seconds) {
         let good = (sum.tries - sum.failed).max(0.0);
         let in_hand = (good * sum.mean_time + sum.failed * contract_time) / sum.span.max(0.01);
@@ -247,14 +243,6 @@
     }
 }
 
-/// How soon a change must be out: a host left that must be, an owner named, a standby.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Haste {
-    Leaves,
-    Moves,
-    Completes,
-}
-
 /// A delta on its way: lines for each proxy, and the proxies that have not confirmed it.
 struct Delta {
     mark: MarkId,
@@ -306,6 +294,8 @@
     sent: Vec<Seconds>,
     deltas: Vec<Delta>,
     mark: u16,
+    /// Hosts once shut out of all tables, and whether they are now; `None`: some proxy may not know.
+    shut: BTreeMap<HostId, Option<bool>>,
 }
 
 impl Steward {
@@ -329,15 +319,20 @@
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
         let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
         for change in &round.streams {
+            if change.up && !change.first {
+                // It missed orders, and a steward that has restarted does not know its own.
+                let restarted = self.proxies.is_empty();
+                self.shut.extend(self.hosts.keys().filter(|_| restarted).map(|host| (*host, None)));
+                self.shut.values_mut().for_each(|state| *state = None);
+            }
             self.proxies.remove(&change.proxy);
             self.proxies.extend(change.up.then_some(change.proxy));
             self.deltas.iter_mut().for_each(|delta| _ = delta.awaited.remove(&change.proxy));
         }
         round.confirmed.iter().for_each(|confirmed| self.hear_confirmed(confirmed));
-        let urgent = verdicts > 0 || !round.lists.is_empty() || !round.charges.is_empty();
         if self.terms.slices == 0 {
             self.one_table(now, round, orders);
-        } else if turn || urgent {
+        } else if turn || verdicts > 0 || !round.lists.is_empty() || !round.charges.is_empty() {
             if turn {
                 self.judge(now, orders);
             }
@@ -427,9 +422,8 @@
         (host.weight * host.warmth(now, &self.terms) * part).max(0.001)
     }
 
-    /// Guards against hosts that died or hang, which the score is slow to see: a host that probes don't
-    /// reach, or that is silent to them and fails all tries in the sums, counts as gone. Sums that are missing
-    /// prove nothing: a report may be seconds away. Tells whether a verdict changed.
+    /// Guards against hosts that died or hang, which the score is slow to see: probes don't reach them, or go
+    /// unanswered while sums show only failures. Missing sums prove nothing. Tells of new verdicts.
     fn hear_probe(&mut self, now: Seconds, probe: &ProbeResult, orders: &mut impl Orders) -> bool {
         let served = || self.hosts.values().filter(|host| host.phase == Phase::Ready && host.last_good > 0.0);
         let (all, down) = (served().count(), served().filter(|host| host.down).count());
@@ -510,8 +504,7 @@
         loads
     }
 
-    /// The next on the hash that has room; if none has, the one with the lowest expected latency, but
-    /// no cold one: in a great loss what is left over would push it over.
+    /// The next on the hash that has room; else the fastest, but no cold one: a great loss would fell it.
     fn heir(&self, id: SliceId, more: f64, loads: &BTreeMap<HostId, Load>) -> Option<HostId> {
         let open = || loads.iter().filter(|(host, _)| Some(**host) != self.withdrawn);
         let on_hash = |host: &HostId| rendezvous(id, *host, self.hosts[host].weight);
@@ -565,9 +558,8 @@
             let (owner, home) = (slice.owner, slice.home.or(slice.owner));
             let heir = self.heir(id, self.rate(slice), loads);
             // A table may be empty only while every listed host is cold: what they can't hold is refused.
-            let warm = |at: Seconds| now - at >= self.terms.warm_within;
-            let ready = |h: &Host| h.phase == Phase::Ready && h.started.is_none_or(warm);
-            let proven = |id: &HostId| self.hosts.get(id).is_some_and(ready);
+            let warm = |h: &Host| h.started.is_none_or(|at| now - at >= self.terms.warm_within);
+            let proven = |id: &HostId| self.hosts.get(id).is_some_and(|h| h.phase == Phase::Ready && warm(h));
             let heir = heir.or(owner.filter(proven)).or_else(|| self.hosts.keys().copied().find(proven));
             if heir != owner {
                 self.move_to(now, id, heir, loads);
@@ -575,13 +567,11 @@
                 moved += 1;
             }
         }
-        if moved > 0 {
-            orders.note(&format!("{moved} slices handed over"));
-        }
+        (moved > 0).then(|| orders.note(&format!("{moved} slices handed over")));
     }
 
-    /// The design's epoch: scores, the outlier test, and at most one host withdrawn, but none while levels
-    /// are down: its heirs would have no room, and a poor host is better than a jam.
+    /// The design's epoch: scores, the outlier test, and at most one host withdrawn. None while levels are
+    /// down: heirs would have no room, and a poor host is better than a jam.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
         let short = self.levels.iter().any(|level| *level < 1.0);
@@ -611,8 +601,7 @@
         for (id, home) in away {
             let slice = &self.slices[&id];
             let more = self.rate(slice) * COLD_KEYS;
-            let owner = slice.owner.and_then(|owner| loads.get(&owner));
-            let here = owner.map_or(f64::INFINITY, |load| load.latency(0.0));
+            let here = slice.owner.and_then(|id| loads.get(&id)).map_or(f64::INFINITY, |l| l.latency(0.0));
             let better = loads.get(&home).is_some_and(|load| load.holds(more) && load.latency(more) < here);
             if better && left > 0 && self.withdrawn != Some(home) && now >= slice.rests_until {
                 left -= 1;
@@ -699,20 +688,29 @@
         }
     }
 
-    /// What a slice's table should say, and how soon. While a host must be left, a new standby can wait.
-    fn wanted(&self, slice: &Slice) -> (Haste, Vec<(HostId, f64)>) {
-        let left = |line: &(HostId, f64)| self.hosts.get(&line.0).is_none_or(|host| !host.usable());
+    fn is_usable(&self, host: HostId) -> bool {
+        self.hosts.get(&host).is_some_and(Host::usable)
+    }
+
+    /// What a slice's table should say, and how soon: 0 if it names no usable host, 1 for a new owner.
+    fn wanted(&self, slice: &Slice) -> (u8, Vec<(HostId, f64)>) {
+        let served = slice.written.iter().any(|line| self.is_usable(line.0));
         let owned = slice.owner.is_some_and(|owner| slice.written.contains(&(owner, 1.0)));
-        let haste = match slice.written.is_empty() || slice.written.iter().any(left) {
-            true => Haste::Leaves,
-            false if !owned => Haste::Moves,
-            false => Haste::Completes,
-        };
         let mut lines: Vec<(HostId, f64)> = slice.owner.iter().map(|owner| (*owner, 1.0)).collect();
-        let spare = slice.standby.map(|host| (host, STANDBY));
-        let spare = spare.filter(|line| haste == Haste::Completes || slice.written.contains(line));
-        lines.extend(spare.filter(|_| slice.owner.is_some() && !self.terms.single_owner));
-        (haste, lines)
+        let spare = slice.standby.filter(|_| slice.owner.is_some() && !self.terms.single_owner);
+        lines.extend(spare.map(|host| (host, STANDBY)));
+        (u8::from(served) + u8::from(served && owned), lines)
+    }
+
+    /// Hosts to shut out of all tables at once, one line a proxy, and those to open again: standbys serve
+    /// until the tables are rewritten. Guards a great loss against the channel, and drains against the grace.
+    fn shut_out(&mut self) -> Vec<(HostId, bool)> {
+        let kept: BTreeSet<HostId> = self.slices.values().filter_map(|slice| slice.owner).collect();
+        let out = |host: &HostId| !self.is_usable(*host) && !kept.contains(host) && !self.terms.single_owner;
+        let named = self.slices.values().flat_map(|slice| slice.written.iter().map(|line| line.0));
+        let all: BTreeSet<HostId> = self.shut.keys().copied().chain(named.filter(out)).collect();
+        let differs = |host: &HostId| self.shut.get(host) != Some(&Some(out(host)));
+        all.into_iter().filter(differs).map(|host| (host, out(&host))).collect()
     }
 
     /// Writes what differs from the standing tables, the most urgent first, within the message allowance and
@@ -723,7 +721,8 @@
             .filter(|((_, wanted), id)| *wanted != self.slices[id].written)
             .collect();
         due.sort_by_key(|((haste, _), id)| (*haste, *id));
-        let urgent = due.first().is_some_and(|((haste, _), _)| *haste == Haste::Leaves);
+        let shut = self.shut_out();
+        let urgent = !shut.is_empty() || due.first().is_some_and(|((haste, _), _)| *haste == 0);
         self.sent.retain(|at| *at >= now - self.terms.messages_span);
         let cap = if self.terms.message_cap == 0 { usize::MAX } else { self.terms.message_cap as usize };
         let kept = if urgent { 1 } else { URGENT_MESSAGES };
@@ -747,13 +746,19 @@
                 *written = wanted;
             }
         }
+        for (host, out) in shut {
+            if waiting + proxies * (lines + 1.0) <= self.terms.backlog * BACKLOG_USE {
+                lines += 1.0;
+                orders.shut_out(host, out);
+                self.shut.insert(host, Some(out));
+            }
+        }
         for ((haste, wanted), id) in due {
             let slice = self.slices.get_mut(&id).expect("due above");
             // A single-owner table has one line: a new owner takes the old one's place by itself.
-            let removes = !self.terms.single_owner;
-            let changed: Vec<_> =
-                slice.changes(&wanted).into_iter().filter(|line| removes || line.1 > 0.0).collect();
-            let used = if haste == Haste::Leaves { BACKLOG_USE } else { ORDINARY_USE };
+            let mut changed = slice.changes(&wanted);
+            changed.retain(|line| line.1 > 0.0 || !self.terms.single_owner);
+            let used = if haste == 0 { BACKLOG_USE } else { ORDINARY_USE };
             if waiting + proxies * (lines + changed.len() as f64) > self.terms.backlog * used {
                 break;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,6 +95,8 @@
 pub struct StreamChange {
     pub proxy: ProxyId,
     pub up: bool,
+    /// Its first stream to this steward; else it still holds what it was ordered before.
+    pub first: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -178,6 +180,8 @@
     fn hand_table(&mut self, table: SliceId, proxy: ProxyId);
     /// Sets the share of a class let in by all proxies, and its way of trying again.
     fn set_level(&mut self, class: ClassId, share: f64, second_try: SecondTry);
+    /// Stops all proxies from sending to a host, whatever tables say, or lets them again.
+    fn shut_out(&mut self, host: HostId, out: bool);
     /// Asks each proxy that this delta reaches to confirm it.
     fn mark(&mut self, mark: MarkId);
     fn probe(&mut self, host: HostId);
