--- a/src/brain.rs
+++ b/src/brain.rs
@@ -185,7 +185,7 @@
         self.phase == Phase::Ready && !self.down
     }
 
-    /// What it can do now, as a share of what it can do warm.
+    /// The least it can do now, as a share of what it can do warm; its square root is likely.
     fn warmth(&self, now: Seconds, terms: &Terms) -> f64 {
         let Some(since) = self.cold_since else { return 1.0 };
         let grown = (now - since).max(0.0) / terms.warm_within.max(EPOCH);
@@ -419,7 +419,7 @@
     /// proportion to the slices in their charge.
     fn part_of(&self, now: Seconds, host: &Host) -> f64 {
         let part = self.slices.len() as f64 / f64::from(self.terms.slices.max(1));
-        (host.weight * host.warmth(now, &self.terms) * part).max(0.001)
+        (host.weight * host.warmth(now, &self.terms).sqrt() * part).max(0.001)
     }
 
     /// Guards against hosts that died or hang, which the score is slow to see: probes don't reach them, or go
@@ -480,17 +480,17 @@
     }
 
     fn loads(&self, now: Seconds) -> BTreeMap<HostId, Load> {
-        let multiple = self.terms.fall_multiple;
         let usable = self.hosts.iter().filter(|(_, host)| host.usable());
         let mut usual = BTreeMap::new();
         let load = |(id, host): (&HostId, &Host)| {
             let warmth = host.warmth(now, &self.terms);
+            let fells = self.terms.fall_multiple * warmth.sqrt();
             let usual = *usual.entry(host.kind).or_insert_with(|| self.usual_service(now, host.kind));
             let service = host.service_time(now, usual);
             let capacity = self.part_of(now, host);
             let warm = Load { demand: 0.0, service, capacity, fill: FULL, shed: f64::MAX, cold: false };
             // A host that has just started has met no keys, and its first reports flatter it.
-            let (fill, shed) = (FULL.min(COLD_FILL * multiple), COLD_SHED * multiple);
+            let (fill, shed) = (FULL.min(COLD_FILL * fells), COLD_SHED * fells);
             let cold = Load { service: service.max(usual), fill, shed, cold: true, ..warm };
             (*id, if warmth < 1.0 { cold } else { warm })
         };
@@ -656,12 +656,13 @@
             return;
         }
         let capacity: f64 = loads.values().map(|load| load.capacity / load.service).sum();
+        let safe = |load: &Load| load.fill.min(OVERLOAD) * load.capacity / load.service;
         let offered = |k: usize| -> f64 { self.slices.values().map(|slice| slice.demand[k].read()).sum() };
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         self.filled = (0..self.terms.classes.len()).map(offered).sum::<f64>() / capacity.max(0.01);
-        let mut room = capacity * OVERLOAD;
+        let mut room: f64 = loads.values().map(safe).sum();
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
             room = (room - offered(k)).max(0.0);
