--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,16 +73,15 @@
 const OVERLOAD: f64 = 0.7;
 /// Utilisation up to which tries that may have run are followed: past it they take room that others need.
 const RETRY_ROOM: f64 = 0.5;
-/// Most a level falls or rises in one turn: falls in a few seconds, rises slowly.
+/// Most a level falls (in seconds) or rises (slowly) in one turn, and the least change worth an order to all.
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.05;
-/// Least change of a level that is worth an order to all proxies.
 const LEVEL_STEP: f64 = 0.02;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
 /// Share of the backlog limit that deltas may fill, and ordinary ones: what is urgent must not wait long.
 const BACKLOG_USE: f64 = 0.9;
-const ORDINARY_USE: f64 = 0.5;
+const ORDINARY_USE: f64 = 0.75;
 
 /// The design's AIMD score of a host as one zone's proxies see it.
 #[derive(Default)]
@@ -503,12 +502,13 @@
         loads
     }
 
-    /// The next on the hash that has room; else the fastest, but no cold one: a great loss would fell it.
+    /// The replica, else the next on the hash, if it has room; else the fastest warm one: cold ones fall.
     fn heir(&self, id: SliceId, more: f64, loads: &BTreeMap<HostId, Load>) -> Option<HostId> {
         let open = || loads.iter().filter(|(host, _)| Some(**host) != self.withdrawn);
-        let on_hash = |host: &HostId| rendezvous(id, *host, self.hosts[host].weight);
+        let spare = |host: &HostId| self.slices[&id].standby == Some(*host);
+        let rank = |host: &HostId| (spare(host), rendezvous(id, *host, self.hosts[host].weight));
         let roomy = open().filter(|(_, load)| load.holds(more * COLD_KEYS));
-        let next = roomy.max_by(|a, b| on_hash(a.0).total_cmp(&on_hash(b.0)));
+        let next = roomy.max_by(|a, b| rank(a.0).partial_cmp(&rank(b.0)).expect("finite"));
         let warm = open().filter(|(_, load)| !load.cold);
         let fast = || warm.min_by(|a, b| a.1.latency(more).total_cmp(&b.1.latency(more)));
         next.or_else(fast).map(|(host, _)| *host)
@@ -655,14 +655,14 @@
         if !self.terms.levels_by_share {
             return;
         }
-        let capacity: f64 = loads.values().map(|load| load.capacity / load.service).sum();
-        let safe = |load: &Load| load.fill.min(OVERLOAD) * load.capacity / load.service;
+        let speed = |load: &Load| load.capacity / load.service;
         let offered = |k: usize| -> f64 { self.slices.values().map(|slice| slice.demand[k].read()).sum() };
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
-        self.filled = (0..self.terms.classes.len()).map(offered).sum::<f64>() / capacity.max(0.01);
-        let mut room: f64 = loads.values().map(safe).sum();
+        let demand: f64 = (0..self.terms.classes.len()).map(offered).sum();
+        self.filled = demand / loads.values().map(speed).sum::<f64>().max(0.01);
+        let mut room: f64 = loads.values().map(|load| load.fill.min(OVERLOAD) * speed(load)).sum();
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
             room = (room - offered(k)).max(0.0);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -389,7 +389,7 @@
 #[test]
 fn a_slow_channel_is_seen_by_its_marks_and_keeps_room_for_hosts_that_must_be_left() {
     // Counted as if it sent at an eighth of its pace, the channel starved a deploy on magnolia-main-later.
-    let mut steward = steward(Terms { backlog: 100.0, ..terms() });
+    let mut steward = steward(Terms { backlog: 50.0, message_cost: 0.0, ..terms() });
     let mut written = Written::default();
     steward.deltas.clear();
     steward.slices.values_mut().for_each(|slice| slice.standby = Some(host(4)));
@@ -486,3 +486,13 @@
     steward.round(&Round { streams: vec![back], ..turn(104.0) }, &mut written);
     assert_eq!(written.shut[2..], [(host(2), false)]);
 }
+
+#[test]
+fn heirs_are_replicas_that_have_room_first() {
+    let mut steward = steward(terms());
+    work(&mut steward, 101.0, 2.0, 0.1);
+    let spares: Vec<_> =
+        steward.slices_of(host(2)).iter().map(|id| (*id, steward.slices[id].standby)).collect();
+    steward.round(&news(101.0, vec![listed(2, Phase::Draining, None)]), &mut Written::default());
+    assert!(spares.iter().all(|(id, spare)| spare.is_some() && steward.slices[id].owner == *spare));
+}
