--- a/src/brain.rs
+++ b/src/brain.rs
@@ -318,9 +318,9 @@
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
         let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
         for change in &round.streams {
-            if change.up && !change.first {
+            if change.up {
                 // It missed orders, and a steward that has restarted does not know its own.
-                let restarted = self.proxies.is_empty();
+                let restarted = !change.first && self.proxies.is_empty();
                 self.shut.extend(self.hosts.keys().filter(|_| restarted).map(|host| (*host, None)));
                 self.shut.values_mut().for_each(|state| *state = None);
             }
@@ -535,8 +535,7 @@
         found.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Every slice whose host drains, is gone, down or withdrawn gets an heir, and a cold host hands over its
-    /// hottest slices until the rest fits what it can do.
+    /// Heirs for the slices of hosts that drain, are gone, down or withdrawn, and of overfilled cold ones.
     fn hand_over(&mut self, now: Seconds, loads: &mut BTreeMap<HostId, Load>, orders: &mut impl Orders) {
         let mut moved = 0;
         let homeless: Vec<SliceId> = (self.slices.iter())
@@ -569,8 +568,7 @@
         (moved > 0).then(|| orders.note(&format!("{moved} slices handed over")));
     }
 
-    /// The design's epoch: scores, the outlier test, and at most one host withdrawn. None while levels are
-    /// down: heirs would have no room, and a poor host is better than a jam.
+    /// The design's epoch. Nobody is withdrawn while levels are down: a poor host is better than a jam.
     fn judge(&mut self, now: Seconds, orders: &mut impl Orders) {
         let mut scores = Vec::new();
         let short = self.levels.iter().any(|level| *level < 1.0);
@@ -704,11 +702,12 @@
 
     /// Hosts to shut out of all tables at once, one line a proxy, and those to open again: standbys serve
     /// until the tables are rewritten. Guards a great loss against the channel, and drains against the grace.
-    fn shut_out(&mut self) -> Vec<(HostId, bool)> {
+    fn shut_out(&self) -> Vec<(HostId, bool)> {
         let kept: BTreeSet<HostId> = self.slices.values().filter_map(|slice| slice.owner).collect();
         let out = |host: &HostId| !self.is_usable(*host) && !kept.contains(host) && !self.terms.single_owner;
         let named = self.slices.values().flat_map(|slice| slice.written.iter().map(|line| line.0));
-        let all: BTreeSet<HostId> = self.shut.keys().copied().chain(named.filter(out)).collect();
+        let back = self.shut.keys().copied().filter(|host| !out(host));
+        let all: BTreeSet<HostId> = back.chain(named.filter(out)).collect();
         let differs = |host: &HostId| self.shut.get(host) != Some(&Some(out(host)));
         all.into_iter().filter(differs).map(|host| (host, out(&host))).collect()
     }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -487,6 +487,22 @@
     assert_eq!(written.shut[2..], [(host(2), false)]);
 }
 
+#[test]
+fn a_proxy_that_joins_later_learns_who_is_shut_out_while_tables_name_them() {
+    let mut steward = steward(Terms { message_cap: 0, backlog: 40.0, message_cost: 0.0, ..terms() });
+    steward.deltas.clear();
+    let mut written = Written::default();
+    (0..2).for_each(|_| steward.round(&probed(101.0, 2, ProbeEnd::Unreachable), &mut written));
+    assert!(steward.slices.values().any(|slice| slice.written.iter().any(|line| line.0 == host(2))));
+    steward.deltas.clear();
+    let late = StreamChange { proxy: ProxyId(9), up: true, first: true };
+    steward.round(&Round { streams: vec![late], ..turn(102.0) }, &mut written);
+    assert_eq!(written.shut, [(host(2), true), (host(2), true)]);
+    steward.slices.values_mut().for_each(|slice| slice.written = vec![(host(1), 1.0)]);
+    steward.shut.insert(host(2), None);
+    assert!(steward.shut_out().is_empty());
+}
+
 #[test]
 fn heirs_are_replicas_that_have_room_first() {
     let mut steward = steward(terms());
