--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -241,6 +241,19 @@
     assert!(owned(&steward, 1) < 3);
 }
 
+#[test]
+fn a_cold_host_is_believed_warmer_than_its_least_but_filled_by_the_least() {
+    // hf799d7 on norrland-portal-later: given 0.35 of four times its least, a cold host fell over.
+    let mut steward = steward(Terms { fall_multiple: 4.0, ..terms() });
+    steward.round(&news(101.0, vec![listed(1, Phase::Ready, Some(100.9))]), &mut Written::default());
+    for now in [101.0, 104.0, 108.0] {
+        let load = steward.loads(now)[&host(1)];
+        let least = 4.0 * steward.hosts[&host(1)].warmth(now, &steward.terms);
+        assert!(load.capacity > least && load.fill <= FULL, "{now}");
+        assert!(load.fill * load.capacity <= COLD_FILL * 4.0 * least + 1e-9, "{now}");
+    }
+}
+
 #[test]
 fn cold_hosts_alone_are_not_given_what_the_lost_ones_held() {
     // Two zone losses in a row on ishikari-labels: all that was left fell over.
