--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -43,7 +43,7 @@
         may_probe: line.flag("ceilings.probes")?,
         dropped_may_stay: line
             .maybe("rules.removal_not_binding")
-            .is_some_and(|value| matches!(value, "true" | "1")),
+            .map_or(Ok(false), |_| line.flag("rules.removal_not_binding"))?,
         levels_by_share: line.text("family_info.throttle_by")? == "share",
         cold_from: line.amount("rules.cold_from")?,
         warm_within: line.seconds("rules.warm_within_us")?,
--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -89,16 +89,11 @@
             "CONFIRMED" => round
                 .confirmed
                 .push(Confirmed { proxy: ProxyId(line.get("edge")?), mark: MarkId(line.get("rev")?) }),
-            "SUBSCRIBED" => round.streams.push(StreamChange {
-                proxy: ProxyId(line.get("edge")?),
-                up: true,
-                first: line.flag("on")?,
-            }),
-            "STREAM_DOWN" => round.streams.push(StreamChange {
-                proxy: ProxyId(line.get("edge")?),
-                up: false,
-                first: false,
-            }),
+            "SUBSCRIBED" | "STREAM_DOWN" => {
+                let up = line.name == "SUBSCRIBED";
+                let first = up && line.flag("on")?;
+                round.streams.push(StreamChange { proxy: ProxyId(line.get("edge")?), up, first });
+            }
             "HEARD" => {
                 let sum = heard(line, names)?;
                 round.tries.push(sum);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -366,10 +366,8 @@
                 host.drop_out(self.terms.dropped_may_stay);
                 continue;
             }
-            if self.terms.may_probe
-                && entry.phase == Phase::Ready
-                && (!host.usable() || host.last_good == 0.0)
-            {
+            let trusted = host.usable() && host.last_good > 0.0;
+            if self.terms.may_probe && entry.phase == Phase::Ready && !trusted {
                 host.down = true;
                 orders.probe(entry.host);
             }
@@ -565,7 +563,9 @@
                 moved += 1;
             }
         }
-        (moved > 0).then(|| orders.note(&format!("{moved} slices handed over")));
+        if moved > 0 {
+            orders.note(&format!("{moved} slices handed over"));
+        }
     }
 
     /// The design's epoch. Nobody is withdrawn while levels are down: a poor host is better than a jam.
