Packages of the running steward: protocol, service, stand-ins, record, rule checker

Change: length-framed delta messages, a steward on may coroutines with one owner of state, an outbox a proxy that folds and holds back what was refused, intake of sums by cover, stand-in hosts, proxies, clients, roster and store, a record of what crossed the sockets, and a checker of the five rules that shares no code with the decisions.

--- /dev/null
+++ b/crates/railhub-net/src/lib.rs
@@ -0,0 +1,15 @@
+//! Sockets on `may` coroutines: framed streams, a little HTTP, tasks that end with their owner, and the clock.
+//!
+//! Owns no state of the program. The way of one stream: [`Listener`] accepts and hands each connection to a
+//! coroutine; [`FrameReader`] gives whole messages under a limit; [`FrameWriter`] writes frames. A peer that
+//! sends what is not a message ends its own stream and nothing else.
+mod clock;
+pub mod http;
+mod listen;
+mod stream;
+mod task;
+
+pub use clock::{now, seconds};
+pub use listen::Listener;
+pub use stream::{connect, reset, split, FrameReader, FrameWriter, StreamEnd};
+pub use task::{go, start, Task};
--- /dev/null
+++ b/crates/railhub-net/src/task.rs
@@ -0,0 +1,43 @@
+//! Coroutines that end with their owner.
+use may::coroutine::{Builder, JoinHandle};
+
+/// Words of stack a coroutine gets: decoding a message and writing a log line need some ten KiB. Pages that
+/// are never touched cost nothing.
+const STACK_WORDS: usize = 0x2000;
+/// Stacks kept for the next coroutine.
+const KEPT_STACKS: usize = 2000;
+
+/// Sets up the coroutine runtime; once a process, before the first coroutine.
+pub fn start() {
+    let workers = std::thread::available_parallelism().map_or(2, |n| n.get()).clamp(2, 8);
+    may::config().set_workers(workers).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
+}
+
+/// A coroutine on its own.
+pub fn go(work: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
+    // SAFETY: the work touches no thread-local across a wait, and its stack is far above its need.
+    unsafe { Builder::new().spawn(work) }.expect("a coroutine can be made")
+}
+
+/// A coroutine that is cancelled when this is dropped.
+pub struct Task(Option<JoinHandle<()>>);
+
+impl Task {
+    pub fn go(work: impl FnOnce() + Send + 'static) -> Task {
+        Task(Some(go(work)))
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.0.as_ref().is_none_or(JoinHandle::is_done)
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        if let Some(handle) = self.0.take() {
+            // SAFETY: a cancelled coroutine unwinds from its next wait; ours hold nothing across one that
+            // unwinding does not give back.
+            unsafe { handle.coroutine().cancel() };
+        }
+    }
+}
--- /dev/null
+++ b/crates/railhub-proto/src/frame.rs
@@ -0,0 +1,126 @@
+//! Frames out of bytes. What waits here never exceeds one frame and one read.
+use prost::Message;
+use thiserror::Error;
+
+/// Bytes of the length before each message.
+const PREFIX: usize = 4;
+/// Bytes of room an empty buffer may keep: idle peers are many and should cost little.
+const KEPT: usize = 512;
+
+/// What a peer did wrong.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum FrameFault {
+    #[error("a frame of {length} bytes, {limit} are allowed")]
+    TooLong { length: usize, limit: usize },
+    #[error("an empty frame")]
+    Empty,
+    #[error("a frame that is no message: {0}")]
+    Malformed(String),
+    #[error("the stream ended inside a frame")]
+    CutOff,
+}
+
+/// A message as a frame.
+pub fn frame(message: &impl Message) -> Vec<u8> {
+    let length = message.encoded_len();
+    let mut bytes = Vec::with_capacity(PREFIX + length);
+    bytes.extend_from_slice(&(length as u32).to_be_bytes());
+    message.encode(&mut bytes).expect("a vector grows as needed");
+    bytes
+}
+
+/// Cuts a stream of bytes into messages.
+pub struct Deframer {
+    bytes: Vec<u8>,
+    from: usize,
+    limit: usize,
+}
+
+impl Deframer {
+    /// `limit`: the most bytes a message may have.
+    pub fn new(limit: usize) -> Deframer {
+        Deframer { bytes: Vec::new(), from: 0, limit }
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.from > 0 {
+            self.bytes.drain(..self.from);
+            self.from = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, if its bytes are there.
+    pub fn message<M: Message + Default>(&mut self) -> Result<Option<M>, FrameFault> {
+        let rest = &self.bytes[self.from..];
+        let Some(prefix) = rest.first_chunk::<PREFIX>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > self.limit {
+            return Err(FrameFault::TooLong { length, limit: self.limit });
+        }
+        if length == 0 {
+            return Err(FrameFault::Empty);
+        }
+        let Some(body) = rest.get(PREFIX..PREFIX + length) else { return Ok(None) };
+        let message = M::decode(body).map_err(|e| FrameFault::Malformed(e.to_string()))?;
+        self.from += PREFIX + length;
+        if self.from == self.bytes.len() {
+            self.from = 0;
+            self.bytes.clear();
+            self.bytes.shrink_to(KEPT);
+        }
+        Ok(Some(message))
+    }
+
+    /// Whether the stream may end here.
+    pub fn finish(&self) -> Result<(), FrameFault> {
+        if self.from == self.bytes.len() {
+            Ok(())
+        } else {
+            Err(FrameFault::CutOff)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{from_proxy, Ack, FromProxy};
+
+    fn ack(nonce: u64) -> FromProxy {
+        FromProxy { word: Some(from_proxy::Word::Ack(Ack { nonce })) }
+    }
+
+    #[test]
+    fn messages_come_out_however_the_bytes_are_cut() {
+        let bytes: Vec<u8> = (0..50).flat_map(|n| frame(&ack(n * 1000))).collect();
+        for step in [1, 3, 7, 1000] {
+            let mut deframer = Deframer::new(100);
+            let mut got = Vec::new();
+            for part in bytes.chunks(step) {
+                deframer.push(part);
+                while let Some(message) = deframer.message::<FromProxy>().expect("whole frames") {
+                    got.push(message);
+                }
+            }
+            assert_eq!(got, (0..50).map(|n| ack(n * 1000)).collect::<Vec<_>>());
+            assert_eq!(deframer.finish(), Ok(()));
+        }
+    }
+
+    #[test]
+    fn a_length_over_the_limit_is_refused_before_its_bytes_come() {
+        let mut deframer = Deframer::new(100);
+        deframer.push(&101u32.to_be_bytes());
+        let fault = deframer.message::<FromProxy>().expect_err("too long");
+        assert_eq!(fault, FrameFault::TooLong { length: 101, limit: 100 });
+    }
+
+    #[test]
+    fn a_stream_that_ends_inside_a_frame_is_cut_off() {
+        let mut deframer = Deframer::new(100);
+        deframer.push(&frame(&ack(77))[..5]);
+        assert_eq!(deframer.message::<FromProxy>(), Ok(None));
+        assert_eq!(deframer.finish(), Err(FrameFault::CutOff));
+    }
+}
--- /dev/null
+++ b/crates/railhub-standin/src/held.rs
@@ -0,0 +1,165 @@
+//! What a proxy holds, and how it picks. Plain functions over plain state.
+use railhub_proto::{Again, Delta};
+use rand::{Rng, RngExt};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// One at random by weight.
+    Weighted,
+    /// Of two drawn by weight, the one with less of the proxy's own work out.
+    TwoByWork,
+}
+
+type Table = Vec<(SocketAddr, f64)>;
+
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    tables: BTreeMap<u32, Table>,
+    levels: BTreeMap<u32, (f64, Again)>,
+    shut: BTreeSet<SocketAddr>,
+    pub on_table: Option<u32>,
+    pub incarnation: u64,
+    pub version: u64,
+    /// Something was refused since the last whole: the version is not claimed when dialling again.
+    pub has_gap: bool,
+}
+
+impl Held {
+    pub fn standing(tables: BTreeMap<u32, Table>) -> Held {
+        Held { tables, ..Held::default() }
+    }
+
+    /// Takes in all of a delta, or nothing and says why.
+    pub fn take_in(&mut self, delta: &Delta) -> Result<(), String> {
+        let mut lines = Vec::with_capacity(delta.lines.len());
+        for line in &delta.lines {
+            let host: SocketAddr = line.host.parse().map_err(|_| format!("'{}' is no address", line.host))?;
+            if !(line.weight.is_finite() && line.weight >= 0.0) {
+                return Err(format!("weight {} of {host} in slice {}", line.weight, line.slice));
+            }
+            lines.push((line.slice, host, line.weight));
+        }
+        let mut shut = Vec::with_capacity(delta.shut.len());
+        for word in &delta.shut {
+            let host = word.host.parse().map_err(|_| format!("'{}' is no address", word.host))?;
+            shut.push((host, word.out));
+        }
+        if let Some(level) = delta.levels.iter().find(|level| level.share.is_nan() || level.share < 0.0) {
+            return Err(format!("level {} of class {}", level.share, level.class));
+        }
+        if delta.reset {
+            self.levels.clear();
+            self.shut.clear();
+            self.has_gap = false;
+        }
+        for slice in &delta.cleared {
+            self.tables.remove(slice);
+        }
+        for (slice, host, weight) in lines {
+            let table = self.tables.entry(slice).or_default();
+            table.retain(|line| line.0 != host);
+            if weight > 0.0 {
+                table.push((host, weight));
+            }
+        }
+        for level in &delta.levels {
+            self.levels.insert(level.class, (level.share, level.again()));
+        }
+        for (host, out) in shut {
+            if out {
+                self.shut.insert(host);
+            } else {
+                self.shut.remove(&host);
+            }
+        }
+        self.on_table = delta.handed.or(self.on_table);
+        (self.incarnation, self.version) = (delta.incarnation, delta.version);
+        Ok(())
+    }
+
+    /// The share of a class let in and its way of trying again.
+    pub fn level(&self, class: u32) -> (f64, Again) {
+        self.levels.get(&class).copied().unwrap_or((1.0, Again::IfNeverRan))
+    }
+
+    /// A host for an operation of a slice; `work`: how much of the proxy's own each has out.
+    pub fn pick(
+        &self,
+        slice: u32,
+        tried: &[SocketAddr],
+        how: Pick,
+        chance: &mut impl Rng,
+        work: impl Fn(SocketAddr) -> usize,
+    ) -> Option<SocketAddr> {
+        let table = self.tables.get(&self.on_table.unwrap_or(slice))?;
+        let open = |line: &&(SocketAddr, f64)| !self.shut.contains(&line.0) && !tried.contains(&line.0);
+        let open: Vec<(SocketAddr, f64)> = table.iter().filter(open).copied().collect();
+        let first = draw(&open, chance)?;
+        match how {
+            Pick::Weighted => Some(first),
+            Pick::TwoByWork => {
+                let second = draw(&open, chance)?;
+                Some(if work(second) < work(first) { second } else { first })
+            }
+        }
+    }
+
+    /// The tables by slice, for comparing.
+    pub fn tables(&self) -> &BTreeMap<u32, Table> {
+        &self.tables
+    }
+}
+
+fn draw(lines: &[(SocketAddr, f64)], chance: &mut impl Rng) -> Option<SocketAddr> {
+    let total: f64 = lines.iter().map(|line| line.1).sum();
+    let mut left = chance.random::<f64>() * total;
+    for (host, weight) in lines {
+        left -= weight;
+        if left < 0.0 {
+            return Some(*host);
+        }
+    }
+    lines.last().map(|line| line.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use railhub_proto::{Shut, TableLine};
+    use rand::SeedableRng;
+    use rand_chacha::ChaCha8Rng;
+
+    fn host(n: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], 8000 + n))
+    }
+
+    fn line(at: u16, weight: f64) -> TableLine {
+        TableLine { slice: 1, host: host(at).to_string(), weight }
+    }
+
+    #[test]
+    fn a_delta_with_one_bad_line_changes_nothing() {
+        let mut held = Held::default();
+        let good = Delta { version: 1, lines: vec![line(1, 1.0)], ..Delta::default() };
+        held.take_in(&good).expect("good");
+        let bad = Delta { version: 2, lines: vec![line(2, 1.0), line(1, f64::NAN)], ..Delta::default() };
+        assert!(held.take_in(&bad).is_err());
+        assert_eq!((held.version, held.tables()[&1].len()), (1, 1));
+    }
+
+    #[test]
+    fn picks_go_by_weight_and_never_to_a_host_that_is_shut_out() {
+        let mut held = Held::default();
+        let lines = vec![line(1, 3.0), line(2, 1.0), line(3, 9.0)];
+        let shut = vec![Shut { host: host(3).to_string(), out: true }];
+        held.take_in(&Delta { lines, shut, ..Delta::default() }).expect("good");
+        let mut chance = ChaCha8Rng::seed_from_u64(1);
+        let mut pick = || held.pick(1, &[], Pick::Weighted, &mut chance, |_| 0).expect("two are open");
+        let first = (0..4000).filter(|_| pick() == host(1)).count();
+        assert!((2900..3100).contains(&first), "{first}");
+        let mut chance = ChaCha8Rng::seed_from_u64(1);
+        assert_eq!(held.pick(1, &[host(1), host(2)], Pick::Weighted, &mut chance, |_| 0), None);
+    }
+}
--- /dev/null
+++ b/crates/railhub-steward/src/claims.rs
@@ -0,0 +1,67 @@
+//! Who may speak for a proxy, and how often. Free of I/O and of clocks.
+use railhub::Seconds;
+
+/// Messages a second a proxy may send for long, and how many at once: sums each second and one word for each
+/// delta, with room for both to come late together.
+const MESSAGES_A_SECOND: f64 = 50.0;
+const MESSAGES_AT_ONCE: f64 = 500.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// Nobody speaks for the proxy yet.
+    Free,
+    /// The same process dials again: its older stream is dead, or soon will be.
+    Replaces,
+    /// Another process does, and its stream is alive: the newcomer is a mistake until that one ends.
+    Taken,
+}
+
+/// `holder`: the process that speaks for the proxy now.
+pub fn claim(holder: Option<u64>, newcomer: u64) -> Claim {
+    match holder {
+        None => Claim::Free,
+        Some(process) if process == newcomer => Claim::Replaces,
+        Some(_) => Claim::Taken,
+    }
+}
+
+/// What a peer may still send.
+pub struct Allowance {
+    left: f64,
+    at: Seconds,
+}
+
+impl Allowance {
+    pub fn new(now: Seconds) -> Allowance {
+        Allowance { left: MESSAGES_AT_ONCE, at: now }
+    }
+
+    /// Whether one more message is within it.
+    pub fn spend(&mut self, now: Seconds) -> bool {
+        let earned = (now - self.at).max(0.0) * MESSAGES_A_SECOND;
+        self.left = (self.left + earned).min(MESSAGES_AT_ONCE) - 1.0;
+        self.at = now;
+        self.left >= 0.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_flood_is_cut_and_a_steady_proxy_is_not() {
+        let mut steady = Allowance::new(0.0);
+        assert!((0..100_000).all(|n| steady.spend(f64::from(n) * 0.05)));
+        let mut flood = Allowance::new(0.0);
+        let passed = (0..10_000).take_while(|n| flood.spend(f64::from(*n) * 0.001)).count();
+        assert!((500..600).contains(&passed), "{passed}");
+    }
+
+    #[test]
+    fn two_processes_do_not_throw_each_other_out_in_turn() {
+        assert_eq!(claim(None, 7), Claim::Free);
+        assert_eq!(claim(Some(7), 7), Claim::Replaces);
+        assert_eq!(claim(Some(7), 8), Claim::Taken);
+    }
+}
--- /dev/null
+++ b/crates/railhub-steward/src/installation.rs
@@ -0,0 +1,142 @@
+//! What a steward is told in its file: where the others are, what it may do, and its limits.
+use railhub::{ClassTerms, Repeat, Seconds, Terms};
+use railhub_ini::{Complaint, Section, Sheet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Largest number of streams unless the file says otherwise.
+const STREAMS_MOST: usize = 10_000;
+
+#[derive(Clone, Debug)]
+pub struct Installation {
+    pub listen: SocketAddr,
+    pub roster: SocketAddr,
+    /// Absent where operations are not cut into slices.
+    pub store: Option<SocketAddr>,
+    pub terms: Terms,
+    pub class_names: Vec<String>,
+    /// Lines of sums that the decisions are given in a second.
+    pub reports_a_second: f64,
+    pub probe_within: Seconds,
+    pub probes_at_once: usize,
+    /// A proxy that owes an acknowledgement for so long is cut off.
+    pub stuck_after: Seconds,
+    pub first_within: Seconds,
+    pub silent_after: Seconds,
+    pub streams_most: usize,
+}
+
+impl Installation {
+    pub fn open(path: &Path) -> Result<Installation, Complaint> {
+        Installation::read(&Sheet::open(path)?)
+    }
+
+    pub fn read(sheet: &Sheet) -> Result<Installation, Complaint> {
+        let is_class = |name: &str| name.starts_with("class ");
+        sheet.only(|name| matches!(name, "steward" | "limits") || is_class(name))?;
+        let (mut classes, mut class_names) = (Vec::new(), Vec::new());
+        for name in sheet.sections().into_iter().filter(|name| is_class(name)) {
+            let section = sheet.section(&name);
+            classes.push(class_terms(&section)?);
+            section.done()?;
+            class_names.push(name["class ".len()..].trim().to_owned());
+        }
+        let steward = sheet.section("steward");
+        if classes.is_empty() || classes.len() > 64 {
+            return Err(steward.wrong("", format!("has {} classes, 1 to 64 are needed", classes.len())));
+        }
+        let limits = sheet.section("limits");
+        let installation = Installation {
+            listen: steward.or("listen", SocketAddr::from(([127, 0, 0, 1], 0)))?,
+            roster: steward.need("roster")?,
+            store: steward.text("store").map(|_| steward.need("store")).transpose()?,
+            terms: terms(&steward, &limits, classes)?,
+            class_names,
+            reports_a_second: limits.within("reports_a_second", 800.0, 1.0, 1e6)?,
+            probe_within: limits.within("probe_within", 0.4, 0.001, 60.0)?,
+            probes_at_once: limits.within("probes_at_once", 64.0, 1.0, 10_000.0)? as usize,
+            stuck_after: limits.within("stuck_after", 10.0, 0.1, 3600.0)?,
+            first_within: limits.within("first_within", 5.0, 0.01, 3600.0)?,
+            silent_after: limits.within("silent_after", 10.0, 0.1, 3600.0)?,
+            streams_most: limits.within("streams_most", STREAMS_MOST as f64, 1.0, 65_535.0)? as usize,
+        };
+        if (installation.terms.slices > 0) != installation.store.is_some() {
+            return Err(steward.wrong("store", "is needed where there are slices, and only there"));
+        }
+        steward.done()?;
+        limits.done()?;
+        Ok(installation)
+    }
+}
+
+fn terms(steward: &Section, limits: &Section, classes: Vec<ClassTerms>) -> Result<Terms, Complaint> {
+    Ok(Terms {
+        classes,
+        slices: steward.within("slices", 0.0, 0.0, 65_534.0)? as u16,
+        single_owner: steward.flag("single_owner", false)?,
+        may_probe: steward.flag("probes", true)?,
+        dropped_may_stay: !steward.flag("removal_binds", true)?,
+        levels_by_share: steward.flag("levels", true)?,
+        cold_from: limits.within("cold_from", 1.0, 0.0, 1.0)?,
+        warm_within: limits.within("warm_within", 0.0, 0.0, 86_400.0)?,
+        fall_multiple: limits.within("fall_multiple", 2.5, 0.1, 1000.0)?,
+        backlog: limits.within("backlog", 50_000.0, 1.0, 1e9)?,
+        message_cost: limits.within("message_cost", 8.0, 0.0, 1e6)?,
+        message_cap: limits.within("message_cap", 20.0, 0.0, 1e6)? as u32,
+        messages_span: limits.within("messages_span", 10.0, 0.1, 3600.0)?,
+        first_wait: limits.within("first_wait", 1.0, 0.0, 100.0)?,
+    })
+}
+
+fn class_terms(section: &Section) -> Result<ClassTerms, Complaint> {
+    Ok(ClassTerms {
+        contract_time: section.need_within("contract_time", 0.0, 3600.0)?,
+        gain: section.within("gain", 1.0, 0.0, 1e9)?,
+        repeat: match section.text("repeats").unwrap_or("never") {
+            "safe" => Repeat::Safe,
+            "keyed" => Repeat::KeyedEverywhere(section.need_within("key_window", 0.0, 1e6)?),
+            "keyed nearby" => Repeat::KeyedNearby,
+            "never" => Repeat::Never,
+            other => {
+                let may = "safe, keyed, keyed nearby or never";
+                return Err(section.wrong("repeats", format!("cannot be '{other}': {may}")));
+            }
+        },
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = "[steward]\nroster = 127.0.0.1:7001\nstore = 127.0.0.1:7002\nslices = 40\n\
+        [limits]\nbacklog = 9000\n[class view]\ncontract_time = 0.8\nrepeats = safe\n\
+        [class pay]\ncontract_time = 1.2\ngain = 2\n";
+
+    fn read(text: &str) -> Result<Installation, String> {
+        Installation::read(&Sheet::read("s.ini", text).expect("readable")).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_file_becomes_terms_in_its_order_of_classes() {
+        let read = read(TEXT).expect("right");
+        assert_eq!(read.class_names, ["view", "pay"]);
+        assert_eq!((read.terms.slices, read.terms.backlog), (40, 9000.0));
+        assert_eq!(read.terms.classes[1].repeat, Repeat::Never);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_line() {
+        let fault = |from: &str, to: &str| read(&TEXT.replace(from, to)).expect_err("wrong");
+        assert_eq!(
+            fault("slices = 40", "slice = 40"),
+            "s.ini:3: [steward] store is needed where there are slices, and only there"
+        );
+        assert_eq!(fault("backlog", "backlogs"), "s.ini:6: [limits] backlogs is not known");
+        assert_eq!(
+            fault("repeats = safe", "repeats = often"),
+            "s.ini:9: [class view] repeats cannot be 'often': safe, keyed, keyed nearby or never"
+        );
+        assert!(fault("contract_time = 0.8\n", "").contains("[class view] contract_time is missing"));
+    }
+}
--- /dev/null
+++ b/crates/railhub-steward/src/intake.rs
@@ -0,0 +1,178 @@
+//! Adds up what proxies report, by zone and host and by slice and class, and lets it through at a rate, the
+//! oldest first; the rest adds up. Free of I/O and of clocks.
+//!
+//! Proxies report at their own moments, late and not always. What came is therefore spread over the time that
+//! the reports cover on average, whoever sent them: a proxy that is late lowers both alike, so rates hold.
+use railhub::{ClassId, DemandSum, HostId, Seconds, SliceId, TrySum, ZoneId};
+use railhub_proto::Sums;
+use std::collections::BTreeMap;
+
+/// Seconds one report may cover, the longest that is believed.
+const LONGEST_SPAN: Seconds = 60.0;
+/// Seconds a sum covers at the least, so that rates stay finite.
+const SHORTEST_SPAN: Seconds = 1e-3;
+/// Pairs and slices kept at once: a lying reporter can name hosts without end.
+const KEPT: usize = 200_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Tries(ZoneId, HostId),
+    Demand(SliceId, ClassId),
+}
+
+#[derive(Clone, Copy, Default)]
+struct Total {
+    amount: f64,
+    failed: f64,
+    good_time: Seconds,
+    busy: Option<f64>,
+    /// Cover at the flush before its first part came.
+    cover_before: Seconds,
+    first: u64,
+}
+
+#[derive(Default)]
+pub struct Intake {
+    totals: BTreeMap<Key, Total>,
+    /// Time that reports have covered for the mean proxy since the start.
+    cover: Seconds,
+    /// The same, at the last flush: what first came after it covers no more.
+    flushed_at: Seconds,
+    flushes: u64,
+    allowance: f64,
+    pub dropped: u64,
+}
+
+/// Why a report is not believed.
+pub fn fault(sums: &Sums) -> Option<&'static str> {
+    if !(0.0..=LONGEST_SPAN).contains(&sums.span) {
+        return Some("a span that cannot be");
+    }
+    let sane = |time: f64| time.is_finite() && time >= 0.0;
+    if !sums.hosts.iter().all(|sum| sane(sum.good_time) && sum.failed <= sum.tries) {
+        return Some("times or counts that cannot be");
+    }
+    if !sums.hosts.iter().filter_map(|sum| sum.busy).all(sane) {
+        return Some("a load that cannot be");
+    }
+    None
+}
+
+impl Intake {
+    /// Takes in one report of one of so many joined proxies.
+    pub fn add(&mut self, zone: ZoneId, sums: &Sums, proxies: usize) {
+        self.cover += sums.span / proxies.max(1) as f64;
+        for sum in &sums.hosts {
+            let Ok(host) = sum.host.parse() else { continue };
+            let Some(total) = self.total(Key::Tries(zone, HostId(host))) else { continue };
+            total.amount += f64::from(sum.tries);
+            total.failed += f64::from(sum.failed);
+            total.good_time += sum.good_time;
+            total.busy = sum.busy.or(total.busy);
+        }
+        for sum in &sums.demand {
+            let key = Key::Demand(SliceId(sum.slice as u16), ClassId(sum.class as u8));
+            if let Some(total) = self.total(key) {
+                total.amount += f64::from(sum.operations);
+            }
+        }
+    }
+
+    fn total(&mut self, key: Key) -> Option<&mut Total> {
+        if self.totals.len() >= KEPT && !self.totals.contains_key(&key) {
+            self.dropped += 1;
+            return None;
+        }
+        let fresh = Total { first: self.flushes, cover_before: self.flushed_at, ..Total::default() };
+        Some(self.totals.entry(key).or_insert(fresh))
+    }
+
+    /// What may go on now, the oldest first; `passed`: seconds since the last call.
+    pub fn flush(&mut self, passed: Seconds, lines_a_second: f64) -> (Vec<TrySum>, Vec<DemandSum>) {
+        self.allowance = (self.allowance + passed * lines_a_second).min(lines_a_second.max(1.0) * 2.0);
+        let mut order: Vec<(u64, Key)> = self.totals.iter().map(|(key, t)| (t.first, *key)).collect();
+        order.sort();
+        let (mut tries, mut demand) = (Vec::new(), Vec::new());
+        for (_, key) in order {
+            if self.allowance < 1.0 {
+                break;
+            }
+            self.allowance -= 1.0;
+            let total = self.totals.remove(&key).expect("listed above");
+            let span = (self.cover - total.cover_before).max(SHORTEST_SPAN);
+            match key {
+                Key::Tries(zone, host) => tries.push(try_sum(zone, host, &total, span)),
+                Key::Demand(slice, class) => {
+                    demand.push(DemandSum { slice, class, operations: total.amount, span });
+                }
+            }
+        }
+        self.flushes += 1;
+        self.flushed_at = self.cover;
+        (tries, demand)
+    }
+}
+
+fn try_sum(zone: ZoneId, host: HostId, total: &Total, span: Seconds) -> TrySum {
+    let good = total.amount - total.failed;
+    let mean_time = if good > 0.0 { total.good_time / good } else { 0.0 };
+    TrySum { zone, host, tries: total.amount, failed: total.failed, mean_time, span, busy: total.busy }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use railhub_proto::{HostSum, SliceSum};
+
+    fn sums(span: f64, tries: u32) -> Sums {
+        let host = "127.0.0.1:8000".to_owned();
+        let hosts = vec![HostSum { host, tries, failed: 0, good_time: 0.1 * f64::from(tries), busy: None }];
+        Sums { span, hosts, demand: vec![SliceSum { slice: 3, class: 0, operations: tries }] }
+    }
+
+    #[test]
+    fn rates_hold_when_reports_come_late_and_in_heaps() {
+        // Ten proxies of 5 tries a second each; for a while nothing comes, then all at once.
+        let mut intake = Intake::default();
+        let (mut operations, mut span) = (0.0, 0.0);
+        for second in 0..30 {
+            let reports = if (10..14).contains(&second) { 0 } else { 10 };
+            let held = if second == 14 { 5.0 } else { 1.0 };
+            for _ in 0..reports {
+                intake.add(ZoneId(0), &sums(held, (5.0 * held) as u32), 10);
+            }
+            for sum in intake.flush(1.0, 100.0).1 {
+                operations += sum.operations;
+                span += sum.span;
+            }
+        }
+        let rate = operations / span;
+        assert!((45.0..70.0).contains(&rate), "{rate}");
+        assert_eq!(operations, 1500.0);
+    }
+
+    #[test]
+    fn past_the_limit_the_oldest_go_first_and_nothing_is_lost() {
+        let mut intake = Intake::default();
+        for slice in 0..50u32 {
+            let demand = vec![SliceSum { slice, class: 0, operations: 2 }];
+            intake.add(ZoneId(0), &Sums { span: 1.0, hosts: vec![], demand }, 1);
+            if slice == 24 {
+                assert!(intake.flush(0.0, 10.0).1.is_empty());
+            }
+        }
+        let first: Vec<u16> = intake.flush(1.0, 10.0).1.iter().map(|sum| sum.slice.0).collect();
+        assert_eq!(first, (0..10).collect::<Vec<_>>());
+        let rest: f64 = (0..10).flat_map(|_| intake.flush(1.0, 10.0).1).map(|sum| sum.operations).sum();
+        assert_eq!(rest, 80.0);
+    }
+
+    #[test]
+    fn what_cannot_be_is_not_believed() {
+        assert!(fault(&sums(1.0, 3)).is_none());
+        assert!(fault(&sums(-1.0, 3)).is_some() && fault(&sums(f64::NAN, 3)).is_some());
+        let mut lies = sums(1.0, 3);
+        lies.hosts[0].failed = 4;
+        assert!(fault(&lies).is_some());
+    }
+}
--- /dev/null
+++ b/crates/railhub-steward/src/streams.rs
@@ -0,0 +1,219 @@
+//! The proxies' streams: a reader and a writer coroutine each, and the door between them and the owner.
+use crate::claims::Allowance;
+use crate::inbox::{Inbox, Report, StreamId, Word};
+use crate::intake;
+use crate::outbox::{Outbox, Publication};
+use may::net::TcpStream;
+use may::sync::{Mutex, Semphore};
+use railhub::{MarkId, ProxyId, Seconds, ZoneId};
+use railhub_net::{go, now, seconds, split, FrameReader, FrameWriter, StreamEnd};
+use railhub_proto::{from_proxy, from_steward, FromProxy, FromSteward, Goodbye, Subscribe, FROM_PROXY_LIMIT};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// What streams are held to.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamTerms {
+    /// Seconds until the first message must have come, and until any later one.
+    pub first_within: Seconds,
+    pub silent_after: Seconds,
+    pub streams_most: usize,
+}
+
+/// Between the owner and a stream's writer.
+pub struct Door {
+    inner: Mutex<Inner>,
+    wake: Semphore,
+}
+
+#[derive(Default)]
+struct Inner {
+    outbox: Outbox,
+    goodbye: Option<String>,
+}
+
+impl Door {
+    fn new() -> Door {
+        Door { inner: Mutex::new(Inner::default()), wake: Semphore::new(0) }
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
+        act(&mut self.inner.lock().expect("no holder panics"))
+    }
+
+    pub fn push(&self, publication: Arc<Publication>) {
+        self.with(|inner| inner.outbox.push(publication));
+        self.wake.post();
+    }
+
+    pub fn confirm(&self, nonce: u64) -> Option<Option<MarkId>> {
+        let confirmed = self.with(|inner| inner.outbox.confirm(nonce));
+        self.wake.post();
+        confirmed
+    }
+
+    pub fn refuse(&self, nonce: u64) -> Option<Option<MarkId>> {
+        let refused = self.with(|inner| inner.outbox.refuse(nonce));
+        self.wake.post();
+        refused
+    }
+
+    pub fn lines(&self, message_cost: f64) -> f64 {
+        self.with(|inner| inner.outbox.lines(message_cost))
+    }
+
+    pub fn owing_since(&self) -> Option<Seconds> {
+        self.with(|inner| inner.outbox.owing_since())
+    }
+
+    pub fn folded(&self) -> u64 {
+        self.with(|inner| inner.outbox.folded)
+    }
+
+    /// Ends the stream, with a reason if the proxy still reads.
+    pub fn close(&self, reason: &str) {
+        self.with(|inner| _ = inner.goodbye.get_or_insert_with(|| reason.to_owned()));
+        self.wake.post();
+    }
+}
+
+/// Counts streams and gives each its number.
+#[derive(Default)]
+pub struct Doors {
+    last: AtomicU64,
+    open: AtomicUsize,
+}
+
+/// Takes a new connection; the caller does not wait.
+pub fn serve(stream: TcpStream, inbox: &Arc<Inbox>, doors: &Arc<Doors>, terms: StreamTerms) {
+    if doors.open.fetch_add(1, Ordering::Relaxed) >= terms.streams_most {
+        doors.open.fetch_sub(1, Ordering::Relaxed);
+        tracing::warn!(limit = terms.streams_most, "a stream is turned away: too many are open");
+        return;
+    }
+    let (inbox, doors) = (inbox.clone(), doors.clone());
+    go(move || {
+        let id = StreamId(doors.last.fetch_add(1, Ordering::Relaxed) + 1);
+        if let Ok((reader, writer)) = split(stream, FROM_PROXY_LIMIT) {
+            follow(id, reader, writer, &inbox, terms);
+        }
+        doors.open.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+/// A stream from its first message to its end.
+fn follow(
+    id: StreamId,
+    mut reader: FrameReader,
+    mut writer: FrameWriter,
+    inbox: &Arc<Inbox>,
+    terms: StreamTerms,
+) {
+    let _ = reader.patience(Some(seconds(terms.first_within)));
+    let _ = writer.patience(Some(seconds(terms.silent_after)));
+    let subscribe = match first_word(&mut reader) {
+        Ok(subscribe) => subscribe,
+        Err(why) => {
+            tracing::warn!(stream = id.0, why, "a stream ends before it subscribed");
+            say_goodbye(&mut writer, &why);
+            return;
+        }
+    };
+    let (proxy, zone) = (ProxyId(subscribe.proxy as u16), ZoneId(subscribe.zone as u16));
+    let door = Arc::new(Door::new());
+    let (_ending, behind) = (Ending(door.clone()), door.clone());
+    go(move || write(writer, &behind));
+    inbox.tell(Word::Joins { stream: id, subscribe, door: door.clone() });
+    let _ = reader.patience(Some(seconds(terms.silent_after)));
+    let mut allowance = Allowance::new(now());
+    let why = loop {
+        if let Err(why) = read(&mut reader, id, proxy, zone, inbox) {
+            break why;
+        }
+        if !allowance.spend(now()) {
+            break "too many messages".into();
+        }
+    };
+    door.close(&why);
+    inbox.tell(Word::Leaves { stream: id, proxy, why });
+}
+
+/// Ends the writer however the reader ends.
+struct Ending(Arc<Door>);
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.0.close("the stream ends");
+    }
+}
+
+fn first_word(reader: &mut FrameReader) -> Result<Subscribe, String> {
+    let message: FromProxy = reader.receive().map_err(|end| end.to_string())?;
+    match message.word {
+        Some(from_proxy::Word::Subscribe(subscribe)) => {
+            match u16::try_from(subscribe.proxy.max(subscribe.zone)) {
+                Ok(_) => Ok(subscribe),
+                Err(_) => {
+                    Err(format!("proxy {} or zone {} is too large a number", subscribe.proxy, subscribe.zone))
+                }
+            }
+        }
+        _ => Err("the first message is no subscription".into()),
+    }
+}
+
+/// One message. It lives in a frame of its own, so that an idle stream's stack stays small.
+#[inline(never)]
+fn read(
+    reader: &mut FrameReader,
+    stream: StreamId,
+    proxy: ProxyId,
+    zone: ZoneId,
+    inbox: &Inbox,
+) -> Result<(), String> {
+    let message: FromProxy = reader.receive().map_err(|end: StreamEnd| end.to_string())?;
+    match message.word {
+        Some(from_proxy::Word::Ack(ack)) => inbox.tell(Word::Ack { stream, proxy, nonce: ack.nonce }),
+        Some(from_proxy::Word::Refusal(refusal)) => {
+            inbox.tell(Word::Refusal { stream, proxy, nonce: refusal.nonce, reason: refusal.reason });
+        }
+        Some(from_proxy::Word::Sums(sums)) => {
+            if let Some(fault) = intake::fault(&sums) {
+                return Err(format!("sums with {fault}"));
+            }
+            inbox.report(Report { stream, proxy, zone, sums });
+        }
+        Some(from_proxy::Word::Subscribe(_)) => return Err("a second subscription on one stream".into()),
+        None => return Err("a message without a word".into()),
+    }
+    Ok(())
+}
+
+/// Writes what the outbox gives until the stream ends. It holds no lock while it writes.
+fn write(mut writer: FrameWriter, door: &Door) {
+    loop {
+        door.wake.wait();
+        loop {
+            let (goodbye, next) = door.with(|inner| match inner.goodbye.clone() {
+                Some(reason) => (Some(reason), None),
+                None => (None, inner.outbox.take(now())),
+            });
+            if let Some(reason) = goodbye {
+                say_goodbye(&mut writer, &reason);
+                return;
+            }
+            let Some(publication) = next else { break };
+            if writer.send_bytes(&publication.bytes).is_err() {
+                writer.close();
+                return;
+            }
+        }
+    }
+}
+
+fn say_goodbye(writer: &mut FrameWriter, reason: &str) {
+    let _ = writer.patience(Some(seconds(0.2)));
+    let goodbye = Goodbye { reason: reason.to_owned() };
+    let _ = writer.send(&FromSteward { word: Some(from_steward::Word::Goodbye(goodbye)) });
+    writer.close();
+}
--- /dev/null
+++ b/crates/railhub-steward/src/tables.rs
@@ -0,0 +1,273 @@
+//! What proxies are to hold: lines, levels and shut-outs in versions, and the latest changes between them.
+//! Free of I/O and of clocks.
+use railhub::{ClassId, HostId, SecondTry, Seconds, SliceId};
+use railhub_proto::{Again, Delta, Level, Shut, TableLine};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Changes kept for proxies that come back, and lines in all of them: past either a proxy gets the whole.
+const KEPT_CHANGES: usize = 256;
+const KEPT_LINES: usize = 50_000;
+
+/// The latest word on each thing that it names. Clears come before lines.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Change {
+    pub reset: bool,
+    pub cleared: BTreeSet<SliceId>,
+    pub lines: BTreeMap<(SliceId, HostId), f64>,
+    pub levels: BTreeMap<ClassId, (f64, SecondTry)>,
+    pub shut: BTreeMap<HostId, bool>,
+    pub handed: Option<SliceId>,
+}
+
+impl Change {
+    pub fn is_empty(&self) -> bool {
+        !self.reset && self.handed.is_none() && self.cost() == 0
+    }
+
+    /// Lines it costs, without those of the message itself.
+    pub fn cost(&self) -> usize {
+        self.cleared.len() + self.lines.len() + self.levels.len() + self.shut.len()
+    }
+
+    /// This change and then a later one, as one.
+    pub fn fold(&mut self, later: &Change) {
+        if later.reset {
+            self.reset = true;
+            self.levels.clear();
+            self.shut.clear();
+        }
+        self.lines.retain(|(slice, _), _| !later.cleared.contains(slice));
+        self.cleared.extend(&later.cleared);
+        self.lines.extend(&later.lines);
+        self.levels.extend(&later.levels);
+        self.shut.extend(&later.shut);
+        self.handed = later.handed.or(self.handed);
+    }
+
+    /// Leaves out what a later change, which the proxy takes in by itself, has the word on.
+    pub fn without(&mut self, later: &Change) {
+        self.lines.retain(|key, _| !later.lines.contains_key(key) && !later.cleared.contains(&key.0));
+        self.cleared.retain(|slice| !later.cleared.contains(slice));
+        self.levels.retain(|class, _| !later.reset && !later.levels.contains_key(class));
+        self.shut.retain(|host, _| !later.reset && !later.shut.contains_key(host));
+        self.reset &= !later.reset;
+    }
+
+    /// The same for a proxy that is on no table yet.
+    pub fn without_lines(&self) -> Change {
+        Change { cleared: BTreeSet::new(), lines: BTreeMap::new(), ..self.clone() }
+    }
+
+    pub fn to_delta(&self, incarnation: u64, version: u64, ordered_at: Seconds) -> Delta {
+        Delta {
+            nonce: version,
+            incarnation,
+            version,
+            ordered_at,
+            reset: self.reset,
+            cleared: self.cleared.iter().map(|slice| slice.0.into()).collect(),
+            lines: (self.lines.iter())
+                .map(|((slice, host), weight)| TableLine {
+                    slice: slice.0.into(),
+                    host: host.0.to_string(),
+                    weight: *weight,
+                })
+                .collect(),
+            levels: (self.levels.iter())
+                .map(|(class, (share, again))| Level {
+                    class: class.0.into(),
+                    share: *share,
+                    again: way_again(*again).into(),
+                })
+                .collect(),
+            shut: (self.shut.iter())
+                .map(|(host, out)| Shut { host: host.0.to_string(), out: *out })
+                .collect(),
+            handed: self.handed.map(|table| table.0.into()),
+        }
+    }
+}
+
+fn way_again(second_try: SecondTry) -> Again {
+    match second_try {
+        SecondTry::Never => Again::Never,
+        SecondTry::IfNeverRan => Again::IfNeverRan,
+        SecondTry::AfterFailure => Again::AfterFailure,
+    }
+}
+
+#[derive(Default)]
+pub struct Tables {
+    pub version: u64,
+    lines: BTreeMap<SliceId, BTreeMap<HostId, f64>>,
+    levels: BTreeMap<ClassId, (f64, SecondTry)>,
+    shut: BTreeMap<HostId, bool>,
+    /// The latest changes, the oldest first; the last one made the present version.
+    log: VecDeque<Change>,
+    logged: usize,
+}
+
+impl Tables {
+    /// A table as the store has it; proxies that join get it, no version is made.
+    pub fn take_stored(&mut self, slice: SliceId, lines: &[(HostId, f64)]) {
+        self.lines.insert(slice, lines.iter().copied().collect());
+    }
+
+    /// Makes the next version.
+    pub fn apply(&mut self, change: Change) -> u64 {
+        for slice in &change.cleared {
+            self.lines.entry(*slice).or_default().clear();
+        }
+        for ((slice, host), weight) in &change.lines {
+            let table = self.lines.entry(*slice).or_default();
+            if *weight > 0.0 {
+                table.insert(*host, *weight);
+            } else {
+                table.remove(host);
+            }
+        }
+        self.levels.extend(&change.levels);
+        self.shut.extend(&change.shut);
+        self.version += 1;
+        self.logged += change.cost();
+        self.log.push_back(change);
+        while self.log.len() > KEPT_CHANGES || self.logged > KEPT_LINES && self.log.len() > 1 {
+            self.logged -= self.log.pop_front().map_or(0, |oldest| oldest.cost());
+        }
+        self.version
+    }
+
+    pub fn lines_of(&self, slice: SliceId) -> Vec<(HostId, f64)> {
+        let table = self.lines.get(&slice);
+        table.into_iter().flatten().map(|(host, weight)| (*host, *weight)).collect()
+    }
+
+    /// All that a proxy which holds nothing is to hold: every table it may have is named.
+    pub fn whole(&self) -> Change {
+        let lines = self
+            .lines
+            .iter()
+            .flat_map(|(slice, table)| table.iter().map(move |(host, weight)| ((*slice, *host), *weight)));
+        Change {
+            reset: true,
+            cleared: self.lines.keys().copied().collect(),
+            lines: lines.collect(),
+            levels: self.levels.clone(),
+            shut: self.shut.iter().filter(|(_, out)| **out).map(|(host, out)| (*host, *out)).collect(),
+            handed: None,
+        }
+    }
+
+    /// One table, for a proxy that is put on it.
+    pub fn handing(&self, table: SliceId) -> Change {
+        let lines = self.lines_of(table).into_iter().map(|(host, weight)| ((table, host), weight));
+        Change {
+            cleared: BTreeSet::from([table]),
+            lines: lines.collect(),
+            handed: Some(table),
+            ..Change::default()
+        }
+    }
+
+    /// What a proxy at such a version lacks; `None` if that is not known any more.
+    pub fn since(&self, version: u64) -> Option<Change> {
+        let lacking = usize::try_from(self.version.checked_sub(version)?).ok()?;
+        let from = self.log.len().checked_sub(lacking)?;
+        let mut all = Change::default();
+        self.log.range(from..).for_each(|change| all.fold(change));
+        Some(all)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    pub fn host(n: u16) -> HostId {
+        HostId(format!("127.0.0.1:{}", 8000 + n).parse().expect("an address"))
+    }
+
+    fn change(words: &[(u16, u16, u8)], clears: &[u16]) -> Change {
+        Change {
+            cleared: clears.iter().map(|slice| SliceId(*slice)).collect(),
+            lines: (words.iter())
+                .map(|(slice, at, weight)| ((SliceId(*slice), host(*at)), f64::from(*weight)))
+                .collect(),
+            ..Change::default()
+        }
+    }
+
+    /// What a proxy does with a change.
+    fn follow(held: &mut BTreeMap<(SliceId, HostId), f64>, change: &Change) {
+        held.retain(|(slice, _), _| !change.cleared.contains(slice));
+        for (key, weight) in &change.lines {
+            if *weight > 0.0 {
+                held.insert(*key, *weight);
+            } else {
+                held.remove(key);
+            }
+        }
+    }
+
+    type Step = (Vec<(u16, u16, u8)>, Vec<u16>);
+
+    fn steps() -> impl Strategy<Value = Vec<Step>> {
+        let words = proptest::collection::vec((0..4u16, 0..4u16, 0..3u8), 0..6);
+        proptest::collection::vec((words, proptest::collection::vec(0..4u16, 0..2)), 1..20)
+    }
+
+    proptest! {
+        #[test]
+        fn whole_since_and_one_by_one_end_alike(steps in steps(), left_at in 0..20usize) {
+            let mut tables = Tables::default();
+            let (mut by_one, mut away) = (BTreeMap::new(), BTreeMap::new());
+            let mut away_at = 0;
+            for (place, (words, clears)) in steps.iter().enumerate() {
+                let change = change(words, clears);
+                tables.apply(change.clone());
+                follow(&mut by_one, &change);
+                if place <= left_at {
+                    follow(&mut away, &change);
+                    away_at = tables.version;
+                }
+            }
+            let mut fresh = BTreeMap::from([((SliceId(9), host(1)), 1.0)]);
+            follow(&mut fresh, &tables.whole());
+            fresh.remove(&(SliceId(9), host(1)));
+            prop_assert_eq!(&fresh, &by_one);
+            follow(&mut away, &tables.since(away_at).expect("kept"));
+            prop_assert_eq!(&away, &by_one);
+        }
+
+        #[test]
+        fn a_change_held_back_does_not_undo_later_ones(steps in steps()) {
+            // The first change was refused, all others were taken in; then it is sent again without what
+            // they say.
+            let mut refused = change(&steps[0].0, &steps[0].1);
+            refused.cleared.clear();
+            let mut held = BTreeMap::new();
+            let mut right = BTreeMap::new();
+            follow(&mut right, &refused);
+            for (words, _) in &steps[1..] {
+                let later = change(words, &[]);
+                refused.without(&later);
+                follow(&mut held, &later);
+                follow(&mut right, &later);
+            }
+            follow(&mut held, &refused);
+            prop_assert_eq!(held, right);
+        }
+    }
+
+    #[test]
+    fn a_version_that_is_too_old_or_not_ours_is_not_known() {
+        let mut tables = Tables::default();
+        for n in 0..KEPT_CHANGES as u16 + 5 {
+            tables.apply(change(&[(1, n % 4, 1)], &[]));
+        }
+        assert!(tables.since(4).is_none());
+        assert!(tables.since(tables.version + 1).is_none());
+        assert_eq!(tables.since(tables.version), Some(Change::default()));
+    }
+}
