--- /dev/null
+++ b/crates/railhub-cli/src/day.rs
@@ -0,0 +1,163 @@
+//! `railhub day` and `railhub check`.
+use crate::launch::as_process;
+use crate::{Ending, LogForm};
+use clap::{Args, Subcommand, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use railhub_day::report::{rules_words, service, words, Report, Service};
+use railhub_day::{import, play, Day};
+use railhub_record::{read, Event};
+use railhub_rules::{judge, limits};
+use railhub_standin::proxy::Sabotage;
+use std::io::IsTerminal;
+use std::path::PathBuf;
+
+#[derive(Args)]
+#[command(args_conflicts_with_subcommands = true)]
+pub struct DayArguments {
+    #[command(subcommand)]
+    other: Option<DayCommand>,
+    /// The day, INI.
+    #[arg(required = true)]
+    file: Option<PathBuf>,
+    /// In place of the file's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// One JSON object on standard output.
+    #[arg(long)]
+    json: bool,
+    /// Keep what crossed the sockets.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Make a stand-in break a rule: the checker must find that one.
+    #[arg(long, value_enum)]
+    sabotage: Option<BrokenRule>,
+    /// Leave out the same day with tables fixed at the start.
+    #[arg(long)]
+    no_fixed: bool,
+}
+
+#[derive(Subcommand)]
+enum DayCommand {
+    /// Makes a script of a day that was drawn for the users' bench.
+    Import {
+        /// A day file, JSON.
+        file: PathBuf,
+        #[arg(short, long)]
+        output: PathBuf,
+        /// Hosts at the start; as many as the day has, 24 at the most, if left out.
+        #[arg(long)]
+        hosts: Option<usize>,
+    },
+}
+
+#[derive(Args)]
+pub struct CheckArguments {
+    record: PathBuf,
+    /// One JSON object on standard output.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum BrokenRule {
+    #[value(name = "rule-1")]
+    One,
+    #[value(name = "rule-2")]
+    Two,
+    #[value(name = "rule-3")]
+    Three,
+    #[value(name = "rule-4")]
+    Four,
+    #[value(name = "rule-5")]
+    Five,
+}
+
+impl BrokenRule {
+    fn how(self) -> Sabotage {
+        match self {
+            BrokenRule::One => Sabotage::LosesLines,
+            BrokenRule::Two => Sabotage::RepeatsBlindly,
+            BrokenRule::Three => Sabotage::IgnoresLeaving,
+            BrokenRule::Four => Sabotage::FloodsColdHosts,
+            BrokenRule::Five => Sabotage::GetsTooManyMessages,
+        }
+    }
+}
+
+pub fn run(arguments: &DayArguments, log: LogForm) -> Result<(), Ending> {
+    if let Some(DayCommand::Import { file, output, hosts }) = &arguments.other {
+        let lost = import::import(file, output, *hosts).map_err(Ending::Input)?;
+        lost.iter().for_each(|what| eprintln!("not carried over: {what}"));
+        return Ok(());
+    }
+    let file = arguments.file.as_ref().ok_or(Ending::Input("a day file is needed".into()))?;
+    let mut day = Day::open(file)?;
+    day.seed = arguments.seed.unwrap_or(day.seed);
+    let sabotage = arguments.sabotage.map(BrokenRule::how);
+    let bar = progress_bar(&day);
+    let show = |at: f64| bar.set_position(at.max(0.0) as u64);
+    let record = arguments.record.as_deref();
+    let (steered, fixed) = std::thread::scope(|scope| {
+        let fixed = (!arguments.no_fixed).then(|| scope.spawn(|| play(&day, None, None, None, &|_| {})));
+        let steered = play(&day, Some(as_process(log)), sabotage, record, &show);
+        let fixed =
+            fixed.map(|thread| thread.join().unwrap_or_else(|_| Err("the fixed day ended early".into())));
+        (steered, fixed)
+    });
+    bar.finish_and_clear();
+    let steered = steered.map_err(Ending::Input)?;
+    let fixed = fixed.transpose().map_err(Ending::Input)?;
+    let fixed = fixed.and_then(|played| Some(service(&played.events, limits(&played.events)?)));
+    let events = match record {
+        Some(record) => read(record)?,
+        None => steered.events,
+    };
+    finish(&day, &events, fixed, arguments.json)
+}
+
+pub fn progress_bar(day: &Day) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let style = ProgressStyle::with_template("{msg} {bar:40} {pos}/{len} s, {eta} left");
+    let bar = ProgressBar::new(day.length as u64).with_message(day.name.clone());
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+/// Prints what came of a day; a broken rule is an ending of its own.
+pub fn finish(day: &Day, events: &[Event], fixed: Option<Service>, json: bool) -> Result<(), Ending> {
+    let rules = judge(events).map_err(Ending::Input)?;
+    let limits = limits(events).ok_or(Ending::Input("the record has no limits".into()))?;
+    let report = Report {
+        day: day.name.clone(),
+        seed: day.seed,
+        service: service(events, limits),
+        fixed,
+        rules_kept: rules.iter().all(|verdict| verdict.kept),
+        rules,
+    };
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print!("{}", words(&report));
+    }
+    if report.rules_kept {
+        Ok(())
+    } else {
+        Err(Ending::Check)
+    }
+}
+
+pub fn check(arguments: &CheckArguments) -> Result<(), Ending> {
+    let rules = judge(&read(&arguments.record)?).map_err(Ending::Input)?;
+    if arguments.json {
+        println!("{}", serde_json::to_string(&rules)?);
+    } else {
+        print!("{}", rules_words(&rules));
+    }
+    if rules.iter().all(|verdict| verdict.kept) {
+        Ok(())
+    } else {
+        Err(Ending::Check)
+    }
+}
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -1,1 +1,90 @@
-fn main() {}
+//! `railhub`: the steward, scripted days, and the checker. Results go to standard output, logs to standard
+//! error; exit 0 good, 2 bad usage or input, 3 a rule broke or a check failed.
+mod day;
+mod launch;
+mod logs;
+mod standin;
+mod steward;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "railhub", version, about = "Publishes weights and key ranges to plain proxies")]
+struct Arguments {
+    /// Logs on standard error.
+    #[arg(long, global = true, value_enum, default_value_t = LogForm::Text)]
+    log: LogForm,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+    Off,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a steward until it is told to end.
+    Steward(steward::StewardArguments),
+    /// Checks a steward's or a day's file.
+    Conf(ConfArguments),
+    /// Plays a scripted day on loopback and judges the rules.
+    Day(day::DayArguments),
+    /// Plays a day's stand-ins against a steward that runs elsewhere on this machine.
+    Standin(standin::StandinArguments),
+    /// Judges the rules from a record alone.
+    Check(day::CheckArguments),
+}
+
+#[derive(Args)]
+struct ConfArguments {
+    #[command(subcommand)]
+    what: ConfCommand,
+}
+
+#[derive(Subcommand)]
+enum ConfCommand {
+    /// Names file, line and what is wrong; says nothing else if all is well.
+    Check { file: PathBuf },
+}
+
+/// Why a command ends otherwise than well.
+enum Ending {
+    /// One line: what is wrong with the call or its input.
+    Input(String),
+    /// A rule broke or a check failed; said already.
+    Check,
+}
+
+impl<E: std::error::Error> From<E> for Ending {
+    fn from(error: E) -> Ending {
+        Ending::Input(error.to_string())
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let runs = matches!(arguments.command, Command::Steward(_) | Command::Standin(_));
+    let _guard = logs::start(arguments.log, if runs { "info" } else { "warn" });
+    railhub_net::start();
+    let ended = match arguments.command {
+        Command::Steward(arguments) => steward::run(&arguments),
+        Command::Conf(ConfArguments { what: ConfCommand::Check { file } }) => steward::check(&file),
+        Command::Day(given) => day::run(&given, arguments.log),
+        Command::Standin(given) => standin::run(&given),
+        Command::Check(given) => day::check(&given),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Ending::Input(words)) => {
+            eprintln!("railhub: {words}");
+            ExitCode::from(2)
+        }
+        Err(Ending::Check) => ExitCode::from(3),
+    }
+}
--- /dev/null
+++ b/crates/railhub-day/src/draw.rs
@@ -0,0 +1,204 @@
+//! Draws a day's fleet and operations from its seed, all ahead: the same day brings the same operations,
+//! whatever is done with them.
+use crate::script::Day;
+use crate::troubles::{Act, GiveUpHow, ShiftHow};
+use railhub_standin::client::Drawn;
+use railhub_standin::host::HostFacts;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal, Zipf};
+
+/// Share of operations expected to meet a key that its host has met lately; sets the offered load.
+const KEYS_MET: f64 = 0.4;
+
+/// One operation, and when and where it comes. Seconds from the start of the day.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: f64,
+    pub proxy: usize,
+    pub drawn: Drawn,
+}
+
+/// A stream of chance of its own for each purpose.
+pub fn chance(seed: u64, purpose: &str) -> ChaCha8Rng {
+    let mixed = purpose.bytes().fold(seed ^ 0x9e37_79b9_7f4a_7c15, |mixed, byte| {
+        (mixed ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    ChaCha8Rng::seed_from_u64(mixed)
+}
+
+/// Hosts as they are at the start, and as later ones will be.
+pub fn hosts(day: &Day, count: usize, purpose: &str) -> Vec<HostFacts> {
+    let mut chance = chance(day.seed, purpose);
+    let total: f64 = day.kinds.iter().map(|kind| kind.share).sum();
+    let one = |n: usize| {
+        let mut left = (n as f64 + 0.5) / count as f64 * total;
+        let place = day.kinds.iter().position(|kind| {
+            left -= kind.share;
+            left < 0.0
+        });
+        let place = place.unwrap_or(day.kinds.len() - 1);
+        let kind = &day.kinds[place];
+        let speed = kind.speed.0 + (kind.speed.1 - kind.speed.0) * chance.random::<f64>();
+        HostFacts {
+            zone: (n % day.zones.len()) as u32,
+            kind: place as u16,
+            cores: kind.cores,
+            speed,
+            queue: kind.queue,
+            cold_from: kind.cold_from,
+            warm_after: kind.warm_after,
+            connections: day.connections,
+            probe_work: day.probe_work,
+            busy_every: day.busy_every,
+            kept_gain: day.kept_gain,
+            kept_for: day.kept_for,
+        }
+    };
+    (0..count).map(one).collect()
+}
+
+pub fn capacity(hosts: &[HostFacts]) -> f64 {
+    hosts.iter().map(|host| host.cores as f64 * host.speed).sum()
+}
+
+/// How much of the traffic each slice draws: unequal, in sum 1.
+pub fn slice_sizes(day: &Day) -> Vec<f64> {
+    let mut chance = chance(day.seed, "slices");
+    let sizes: Vec<f64> =
+        (0..day.slices.max(1)).map(|_| spread(&mut chance, 1.0, day.slice_spread)).collect();
+    let total: f64 = sizes.iter().sum();
+    sizes.into_iter().map(|size| size / total).collect()
+}
+
+/// Each slice's first host: the one that is least filled for its size.
+pub fn first_owners(day: &Day, hosts: &[HostFacts]) -> Vec<usize> {
+    let mut filled = vec![0.0; hosts.len()];
+    let owner = |size: &f64| {
+        let after = |n: &usize| (filled[*n] + size) / (hosts[*n].cores as f64);
+        let best = (0..hosts.len()).min_by(|a, b| after(a).total_cmp(&after(b))).unwrap_or(0);
+        filled[best] += size;
+        best
+    };
+    slice_sizes(day).iter().map(owner).collect()
+}
+
+/// A positive number with such a mean and such a spread over the mean.
+fn spread(chance: &mut ChaCha8Rng, mean: f64, cv: f64) -> f64 {
+    let sigma = (1.0 + cv * cv).ln().sqrt();
+    let drawn = LogNormal::new(mean.ln() - sigma * sigma / 2.0, sigma);
+    drawn.map_or(mean, |drawn| drawn.sample(chance))
+}
+
+/// A place in a list by its weight.
+fn place(chance: &mut ChaCha8Rng, weights: &[f64]) -> usize {
+    let mut left = chance.random::<f64>() * weights.iter().sum::<f64>();
+    weights
+        .iter()
+        .position(|weight| {
+            left -= weight;
+            left < 0.0
+        })
+        .unwrap_or(weights.len() - 1)
+}
+
+pub fn arrivals(day: &Day, capacity: f64) -> Vec<Arrival> {
+    let mut chance = chance(day.seed, "operations");
+    let sizes = slice_sizes(day);
+    let shares: Vec<f64> = day.classes.iter().map(|class| class.share).collect();
+    let work: f64 =
+        day.classes.iter().map(|class| class.share * class.work).sum::<f64>() / shares.iter().sum::<f64>();
+    let rate = day.load * capacity / (work * (1.0 - day.kept_gain * KEYS_MET));
+    let proxies: Vec<f64> = (0..day.proxies).map(|_| spread(&mut chance, 1.0, 0.7)).collect();
+    let keys = Zipf::new(day.keys as f64, 0.7).expect("at least one key and a positive exponent");
+    let heaviest = (0..day.classes.len())
+        .max_by(|a, b| day.classes[*a].work.total_cmp(&day.classes[*b].work))
+        .unwrap_or(0);
+    let (mut at, mut operation, mut all) = (0.0f64, 0, Vec::new());
+    loop {
+        let busiest = rate * day.times_most();
+        at += -(1.0 - chance.random::<f64>()).ln() / busiest;
+        if at >= day.length {
+            return all;
+        }
+        if chance.random::<f64>() * busiest >= rate * day.times(at) {
+            continue;
+        }
+        operation += 1;
+        let mut class = place(&mut chance, &shares);
+        let mut zones = day.zone_shares.clone();
+        let mut slice = place(&mut chance, &sizes);
+        let mut key = keys.sample(&mut chance) as u64 + (slice as u64) * day.keys as u64;
+        let mut times = 1.0;
+        let (mut patience, mut comes_back) = (1.0, false);
+        for trouble in &day.troubles {
+            let luck = chance.random::<f64>();
+            let begun = ((at - trouble.at) / trouble.long.max(0.001)).clamp(0.0, 1.0);
+            let is_on = trouble.at <= at && at < trouble.at + trouble.long;
+            match &trouble.act {
+                Act::HotKey { share, keys: hot } if is_on && luck < *share => {
+                    let which = (luck / share * *hot as f64) as usize;
+                    slice = (which * 7 + 3) % sizes.len();
+                    key = u64::MAX / 2 + which as u64;
+                }
+                Act::Heavy { share, times: heavier } if is_on && luck < *share => times *= heavier,
+                Act::Shift { share, how: ShiftHow::Zone(zone) } => {
+                    let moved = share * begun;
+                    zones.iter_mut().enumerate().for_each(|(n, part)| {
+                        *part = *part * (1.0 - moved) + if n == *zone as usize { moved } else { 0.0 };
+                    });
+                }
+                Act::Shift { share, how: ShiftHow::Mix } if luck < share * begun => class = heaviest,
+                Act::GiveUp { share, patience: left, how } if is_on && luck < *share => {
+                    patience = (left * day.classes[class].facts.contract_time
+                        / day.classes[class].facts.hard_stop)
+                        .min(1.0);
+                    comes_back = *how == GiveUpHow::Leave;
+                }
+                _ => {}
+            }
+        }
+        let zone = place(&mut chance, &zones);
+        let inside = |n: &usize| n % day.zones.len() == zone;
+        let weights: Vec<f64> = (proxies.iter().enumerate())
+            .map(|(n, weight)| if inside(&n) || day.proxies < day.zones.len() { *weight } else { 0.0 })
+            .collect();
+        let script = &day.classes[class];
+        let drawn = Drawn {
+            operation,
+            class: class as u32,
+            key,
+            slice: slice as u32,
+            work: times * spread(&mut chance, script.work, script.spread),
+            patience,
+            comes_back,
+        };
+        all.push(Arrival { at, proxy: place(&mut chance, &weights), drawn });
+    }
+}
+
+impl Day {
+    /// Times the usual rate at a moment: the day's shape, and growth that traffic follows.
+    pub fn times(&self, at: f64) -> f64 {
+        let after = self.shape.iter().position(|point| point.0 > at).unwrap_or(self.shape.len());
+        let shape = match (after.checked_sub(1).map(|n| self.shape[n]), self.shape.get(after)) {
+            (None, None) => 1.0,
+            (Some((_, times)), None) => times,
+            (None, Some((_, times))) => *times,
+            (Some((a, from)), Some((b, to))) => from + (to - from) * (at - a) / (b - a),
+        };
+        let grown = self.troubles.iter().filter_map(|trouble| match trouble.act {
+            Act::Growth { times, follows } => {
+                let begun = ((at - trouble.at) / trouble.long.max(0.001)).clamp(0.0, 1.0);
+                Some(1.0 + (times - 1.0) * follows * begun)
+            }
+            _ => None,
+        });
+        shape * grown.product::<f64>()
+    }
+
+    fn times_most(&self) -> f64 {
+        let steps = (self.length * 4.0) as usize + 1;
+        (0..=steps).map(|n| self.times(n as f64 / 4.0)).fold(0.01, f64::max) * 1.05
+    }
+}
--- /dev/null
+++ b/crates/railhub-day/src/import.rs
@@ -0,0 +1,5 @@
+//! soon
+use std::path::Path;
+pub fn import(_: &Path, _: &Path, _: Option<usize>) -> Result<Vec<String>, String> {
+    Err("soon".into())
+}
--- /dev/null
+++ b/crates/railhub-day/src/script.rs
@@ -0,0 +1,300 @@
+//! A day as its file tells it.
+use crate::troubles::{self, Trouble};
+use railhub_ini::{Complaint, Section, Sheet};
+use railhub_record::{ClassLimits, Limits, Repeats};
+use railhub_standin::client::ClientFacts;
+use railhub_standin::held::Pick;
+use railhub_standin::ClassFacts;
+use std::path::Path;
+
+#[derive(Clone, Debug)]
+pub struct ClassScript {
+    pub facts: ClassFacts,
+    pub share: f64,
+    /// Mean core seconds of an operation, and their spread over the mean.
+    pub work: f64,
+    pub spread: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct KindScript {
+    pub name: String,
+    pub share: f64,
+    pub cores: usize,
+    pub speed: (f64, f64),
+    pub queue: usize,
+    pub cold_from: f64,
+    pub warm_after: f64,
+}
+
+/// Times in seconds.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub length: f64,
+    pub zones: Vec<String>,
+    pub zone_shares: Vec<f64>,
+    pub hosts: usize,
+    pub kinds: Vec<KindScript>,
+    pub connections: usize,
+    pub probe_work: f64,
+    pub busy_every: f64,
+    pub kept_gain: f64,
+    pub kept_for: f64,
+    pub proxies: usize,
+    pub pick: Pick,
+    pub slices: u32,
+    pub slice_spread: f64,
+    /// Share of what the hosts can do that is asked for, at moments of the day.
+    pub load: f64,
+    pub shape: Vec<(f64, f64)>,
+    pub keys: usize,
+    pub classes: Vec<ClassScript>,
+    pub clients: ClientFacts,
+    pub roster_add: f64,
+    pub roster_notice: f64,
+    pub report_every: f64,
+    pub report_late: f64,
+    pub reports_a_second: f64,
+    pub lines_a_second: f64,
+    pub redial: f64,
+    pub connect_within: f64,
+    pub hold: f64,
+    pub first_wait: f64,
+    pub limits: Limits,
+    pub troubles: Vec<Trouble>,
+}
+
+impl Day {
+    pub fn open(path: &Path) -> Result<Day, Complaint> {
+        Day::read(&Sheet::open(path)?)
+    }
+
+    pub fn read(sheet: &Sheet) -> Result<Day, Complaint> {
+        let named = |prefix: &'static str| move |name: &String| name.starts_with(prefix);
+        sheet.only(|name| {
+            let plain = ["day", "fleet", "load", "clients", "roster", "reports", "channel", "rules"];
+            plain.contains(&name) || ["class ", "kind ", "trouble "].iter().any(|p| name.starts_with(p))
+        })?;
+        let sections = sheet.sections();
+        let mut classes = Vec::new();
+        for name in sections.iter().filter(|name| named("class ")(name)) {
+            classes.push(class(&sheet.section(name))?);
+        }
+        let mut kinds = Vec::new();
+        for name in sections.iter().filter(|name| named("kind ")(name)) {
+            kinds.push(kind(&sheet.section(name))?);
+        }
+        let day = sheet.section("day");
+        if classes.is_empty() || kinds.is_empty() {
+            return Err(day.wrong("", "needs at least one [class NAME] and one [kind NAME]"));
+        }
+        let fleet = sheet.section("fleet");
+        let load = sheet.section("load");
+        let clients = sheet.section("clients");
+        let roster = sheet.section("roster");
+        let reports = sheet.section("reports");
+        let channel = sheet.section("channel");
+        let rules = sheet.section("rules");
+        let zones = match fleet.list("zones") {
+            names if names.is_empty() => vec!["here".to_owned()],
+            names => names,
+        };
+        let slices = fleet.within("slices", 0.0, 0.0, 60_000.0)? as u32;
+        let script = Day {
+            name: day.or("name", "unnamed".to_owned())?,
+            seed: day.or("seed", 1)?,
+            length: day.need_within("length", 1.0, 3600.0)?,
+            zone_shares: zone_shares(&load, &zones)?,
+            hosts: fleet.need_within("hosts", 1.0, 2000.0)? as usize,
+            connections: fleet.within("connections", 2000.0, 1.0, 60_000.0)? as usize,
+            probe_work: fleet.within("probe_work", 0.002, 0.0, 10.0)?,
+            busy_every: fleet.within("busy_every", 0.0, 0.0, 60.0)?,
+            kept_gain: fleet.within("kept_gain", 0.0, 0.0, 0.95)?,
+            kept_for: fleet.within("kept_for", 10.0, 0.0, 3600.0)?,
+            proxies: fleet.need_within("proxies", 1.0, 5000.0)? as usize,
+            pick: match fleet.text("pick").unwrap_or("two") {
+                "two" => Pick::TwoByWork,
+                "weighted" => Pick::Weighted,
+                other => return Err(fleet.wrong("pick", format!("cannot be '{other}': two or weighted"))),
+            },
+            slice_spread: fleet.within("slice_spread", 0.6, 0.0, 5.0)?,
+            load: load.need_within("share", 0.01, 3.0)?,
+            shape: shape(&load)?,
+            keys: load.within("keys", 2000.0, 1.0, 1e6)? as usize,
+            clients: ClientFacts {
+                retries: clients.within("retries", 1.0, 0.0, 10.0)? as u32,
+                try_share: clients.within("try_share", 0.7, 0.01, 1.0)?,
+                pause: clients.within("pause", 0.1, 0.0, 60.0)?,
+            },
+            roster_add: roster.within("add", 1.0, 0.0, 60.0)?,
+            roster_notice: roster.within("notice", 2.0, 0.0, 60.0)?,
+            report_every: reports.within("every", 1.0, 0.05, 60.0)?,
+            report_late: reports.within("late", 0.5, 0.0, 60.0)?,
+            reports_a_second: reports.within("a_second", 800.0, 1.0, 1e6)?,
+            lines_a_second: channel.within("lines_a_second", 40_000.0, 10.0, 1e9)?,
+            redial: channel.within("redial", 1.0, 0.0, 60.0)?,
+            connect_within: fleet.within("connect_within", 0.25, 0.01, 60.0)?,
+            hold: rules.within("hold", 0.2, 0.0, 60.0)?,
+            first_wait: rules.within("first_wait", 1.0, 0.0, 100.0)?,
+            limits: limits(&rules, &classes, slices)?,
+            troubles: Vec::new(),
+            zones,
+            kinds,
+            slices,
+            classes,
+        };
+        let mut found = Vec::new();
+        for name in sections.iter().filter(|name| named("trouble ")(name)) {
+            found.push(troubles::read(&sheet.section(name), &script)?);
+        }
+        for section in [day, fleet, load, clients, roster, reports, channel, rules] {
+            section.done()?;
+        }
+        Ok(Day { troubles: found, ..script })
+    }
+
+    pub fn class_facts(&self) -> Vec<ClassFacts> {
+        self.classes.iter().map(|class| class.facts.clone()).collect()
+    }
+}
+
+fn zone_shares(load: &Section, zones: &[String]) -> Result<Vec<f64>, Complaint> {
+    let texts = load.list("zone_shares");
+    if texts.is_empty() {
+        return Ok(vec![1.0; zones.len()]);
+    }
+    let shares: Vec<f64> = texts.iter().filter_map(|text| text.parse().ok()).collect();
+    if shares.len() == zones.len()
+        && shares.iter().all(|share| *share >= 0.0)
+        && shares.iter().sum::<f64>() > 0.0
+    {
+        Ok(shares)
+    } else {
+        Err(load.wrong("zone_shares", format!("needs {} shares, one a zone", zones.len())))
+    }
+}
+
+/// `shape = 0:1.0, 20:1.3`: times the load at moments of the day, a straight line between.
+fn shape(load: &Section) -> Result<Vec<(f64, f64)>, Complaint> {
+    let points = load.list("shape").into_iter().map(|point| {
+        let (at, times) = point.split_once(':')?;
+        Some((at.trim().parse().ok()?, times.trim().parse::<f64>().ok().filter(|times| *times >= 0.0)?))
+    });
+    let points: Option<Vec<(f64, f64)>> = points.collect();
+    let ordered = |points: &Vec<(f64, f64)>| points.windows(2).all(|two| two[0].0 < two[1].0);
+    points.filter(ordered).ok_or_else(|| load.wrong("shape", "needs points like 0:1.0, 20:1.3, in order"))
+}
+
+fn class(section: &Section) -> Result<ClassScript, Complaint> {
+    let repeats = match section.text("repeats").unwrap_or("never") {
+        "safe" => Repeats::Safe,
+        "keyed" => Repeats::KeyedEverywhere,
+        "keyed nearby" => Repeats::KeyedNearby,
+        "never" => Repeats::Never,
+        other => {
+            let may = "safe, keyed, keyed nearby or never";
+            return Err(section.wrong("repeats", format!("cannot be '{other}': {may}")));
+        }
+    };
+    let keyed = matches!(repeats, Repeats::KeyedEverywhere | Repeats::KeyedNearby);
+    let script = ClassScript {
+        facts: ClassFacts {
+            name: section.name["class ".len()..].trim().to_owned(),
+            contract_time: section.need_within("contract_time", 0.001, 3600.0)?,
+            hard_stop: section.need_within("hard_stop", 0.001, 3600.0)?,
+            gain: section.within("gain", 1.0, 0.0, 1e9)?,
+            repeats,
+            key_window: if keyed { section.need_within("key_window", 0.0, 1e6)? } else { 0.0 },
+            writes: section.flag("writes", false)?,
+        },
+        share: section.within("share", 1.0, 0.0, 1e6)?,
+        work: section.need_within("work", 1e-6, 100.0)?,
+        spread: section.within("spread", 0.5, 0.0, 10.0)?,
+    };
+    section.done()?;
+    Ok(script)
+}
+
+fn kind(section: &Section) -> Result<KindScript, Complaint> {
+    let least = section.within("speed_least", 1.0, 0.01, 100.0)?;
+    let kind = KindScript {
+        name: section.name["kind ".len()..].trim().to_owned(),
+        share: section.within("share", 1.0, 0.0, 1e6)?,
+        cores: section.within("cores", 4.0, 1.0, 1024.0)? as usize,
+        speed: (least, section.within("speed_most", least, least, 100.0)?),
+        queue: section.within("queue", 40.0, 0.0, 1e6)? as usize,
+        cold_from: section.within("cold_from", 0.3, 0.01, 1.0)?,
+        warm_after: section.within("warm_after", 10.0, 0.0, 3600.0)?,
+    };
+    section.done()?;
+    Ok(kind)
+}
+
+fn limits(rules: &Section, classes: &[ClassScript], slices: u32) -> Result<Limits, Complaint> {
+    let classes = classes.iter().map(|class| ClassLimits {
+        name: class.facts.name.clone(),
+        contract_time: class.facts.contract_time,
+        hard_stop: class.facts.hard_stop,
+        gain: class.facts.gain,
+        repeats: class.facts.repeats.into(),
+        key_window: class.facts.key_window,
+        writes: class.facts.writes,
+    });
+    Ok(Limits {
+        classes: classes.collect(),
+        slices,
+        single_owner: false,
+        lost_for: rules.within("lost_for", 6.0, 0.01, 3600.0)?,
+        grace: rules.within("grace", 3.0, 0.01, 3600.0)?,
+        only_draining_binds: !rules.flag("removal_binds", true)?,
+        fall_multiple: rules.within("fall_multiple", 2.5, 0.1, 1000.0)?,
+        fall_for: rules.within("fall_for", 2.0, 0.01, 600.0)?,
+        cold_from: rules.within("cold_from", 0.2, 0.0, 1.0)?,
+        warm_within: rules.within("warm_within", 15.0, 0.0, 3600.0)?,
+        backlog: rules.within("backlog", 20_000.0, 1.0, 1e9)?,
+        message_cost: rules.within("message_cost", 8.0, 0.0, 1e6)?,
+        message_cap: rules.within("message_cap", 20.0, 0.0, 1e6)? as u32,
+        messages_span: rules.within("messages_span", 10.0, 0.1, 3600.0)?,
+        from: 0.0,
+        until: 0.0,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str =
+        "[day]\nlength = 5\n[fleet]\nhosts = 3\nproxies = 2\nslices = 6\n[load]\nshare = 0.3\n\
+        [kind a]\ncores = 2\n[class view]\nwork = 0.05\ncontract_time = 0.5\nhard_stop = 1\n\
+        [trouble one]\nkind = crash\nat = 2\nfor = 1\nhosts = 1\n";
+
+    fn read(text: &str) -> Result<Day, String> {
+        Sheet::read("d.ini", text).and_then(|sheet| Day::read(&sheet)).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_short_script_is_a_whole_day() {
+        let day = read(TEXT).expect("right");
+        assert_eq!((day.hosts, day.slices, day.troubles.len()), (3, 6, 1));
+    }
+
+    #[test]
+    fn mistakes_are_named_with_their_line() {
+        let fault = |from: &str, to: &str| read(&TEXT.replace(from, to)).expect_err("wrong");
+        assert_eq!(fault("cores", "coers"), "d.ini:10: [kind a] coers is not known");
+        assert_eq!(
+            fault("kind = crash", "kind = crush"),
+            "d.ini:16: [trouble one] kind 'crush' is not known"
+        );
+        assert_eq!(
+            fault("hosts = 1\n", "hosts = 1\ntimes = 4\n"),
+            "d.ini:20: [trouble one] times is not known"
+        );
+        assert!(
+            fault("share = 0.3", "share = 0.3\nshape = 5:1, 2:1").starts_with("d.ini:9: [load] shape needs")
+        );
+    }
+}
--- /dev/null
+++ b/crates/railhub-day/src/troubles.rs
@@ -0,0 +1,323 @@
+//! The troubles of a day: each one small, named thing; several can overlap.
+use crate::draw;
+use crate::script::Day;
+use crate::world::World;
+use railhub_ini::{Complaint, Section};
+use railhub_net::{now, seconds};
+use railhub_standin::host::Ailments;
+use railhub_standin::links::SlowLink;
+use rand::seq::SliceRandom;
+use std::sync::Arc;
+
+/// Seconds between looks while a trouble that comes and goes is on.
+const PULSE: f64 = 0.02;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ghost {
+    Refuse,
+    Error,
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ShiftHow {
+    Zone(u32),
+    Mix,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum GiveUpHow {
+    Leave,
+    Short,
+}
+
+/// What happens. Shares are of 1, times are factors.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Crash { hosts: usize },
+    Deploy { hosts: usize, batch: usize, drain: f64 },
+    Hang { hosts: usize },
+    Slow { hosts: usize, times: f64 },
+    Pauses { hosts: usize, pause: f64, every: f64 },
+    Neighbour { hosts: usize, takes: f64, every: f64 },
+    AnswersLost { hosts: usize, share: f64 },
+    HotKey { share: f64, keys: usize },
+    Heavy { share: f64, times: f64 },
+    GiveUp { share: f64, patience: f64, how: GiveUpHow },
+    Shift { share: f64, how: ShiftHow },
+    Growth { times: f64, follows: f64 },
+    LateSums { by: f64 },
+    ListShrinks { hosts: usize },
+    Ghosts { hosts: usize, kinds: Vec<Ghost> },
+    ListBreaks,
+    StoreAway,
+    LostZone { zone: u32, silent: bool },
+    BrokenStreams { share: f64 },
+    SlowChannel { times: f64 },
+    StewardKilled,
+    SlowLink { zone: u32, other: Option<u32>, delay: f64, lost: f64 },
+    RefusedVersion { share: f64 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    pub name: String,
+    pub kind: String,
+    pub at: f64,
+    pub long: f64,
+    pub act: Act,
+}
+
+pub fn read(section: &Section, day: &Day) -> Result<Trouble, Complaint> {
+    let kind: String = section.need("kind")?;
+    let hosts = || -> Result<usize, Complaint> {
+        let part = section.within("part", 0.0, 0.0, 1.0)?;
+        let least = usize::from(part > 0.0);
+        let counted = ((part * day.hosts as f64).round() as usize).max(least);
+        let hosts = section.or("hosts", counted)?;
+        if hosts > 0 {
+            Ok(hosts)
+        } else {
+            Err(section.wrong("hosts", "is missing: hosts = 2, or part = 0.1"))
+        }
+    };
+    let share = || section.need_within("share", 0.0, 1.0);
+    let times = || section.need_within("times", 1.0, 1000.0);
+    let zone = |key: &str| -> Result<Option<u32>, Complaint> {
+        let Some(name) = section.text(key) else { return Ok(None) };
+        let place = day.zones.iter().position(|zone| zone == name);
+        place.map(|n| Some(n as u32)).ok_or_else(|| section.wrong(key, format!("'{name}' is no zone")))
+    };
+    let need_zone = || zone("zone")?.ok_or_else(|| section.wrong("zone", "is missing"));
+    let act = match kind.as_str() {
+        "crash" => Act::Crash { hosts: hosts()? },
+        "deploy" => Act::Deploy {
+            hosts: hosts()?,
+            batch: section.within("batch", 1.0, 1.0, 1000.0)? as usize,
+            drain: section.within("drain", 4.0, 0.0, 600.0)?,
+        },
+        "hang" => Act::Hang { hosts: hosts()? },
+        "slow" => Act::Slow { hosts: hosts()?, times: times()? },
+        "pauses" => Act::Pauses {
+            hosts: hosts()?,
+            pause: section.need_within("pause", 0.0, 60.0)?,
+            every: section.need_within("every", 0.01, 600.0)?,
+        },
+        "neighbour" => Act::Neighbour {
+            hosts: hosts()?,
+            takes: section.need_within("takes", 0.0, 0.95)?,
+            every: section.need_within("every", 0.01, 600.0)?,
+        },
+        "answers_lost" => Act::AnswersLost { hosts: hosts()?, share: share()? },
+        "hot_key" => Act::HotKey { share: share()?, keys: section.within("keys", 1.0, 1.0, 100.0)? as usize },
+        "heavy" => Act::Heavy { share: share()?, times: times()? },
+        "give_up" => Act::GiveUp {
+            share: share()?,
+            patience: section.need_within("patience", 0.01, 10.0)?,
+            how: match section.text("how").unwrap_or("short") {
+                "leave" => GiveUpHow::Leave,
+                "short" => GiveUpHow::Short,
+                other => return Err(section.wrong("how", format!("cannot be '{other}': leave or short"))),
+            },
+        },
+        "shift" => Act::Shift {
+            share: share()?,
+            how: match zone("zone")? {
+                Some(zone) => ShiftHow::Zone(zone),
+                None => ShiftHow::Mix,
+            },
+        },
+        "growth" => Act::Growth { times: times()?, follows: section.within("follows", 1.0, 0.0, 2.0)? },
+        "late_sums" => Act::LateSums { by: section.need_within("by", 0.0, 600.0)? },
+        "list_shrinks" => Act::ListShrinks { hosts: hosts()? },
+        "ghosts" => Act::Ghosts { hosts: hosts()?, kinds: ghosts(section)? },
+        "list_breaks" => Act::ListBreaks,
+        "store_away" => Act::StoreAway,
+        "lost_zone" => Act::LostZone { zone: need_zone()?, silent: section.flag("silent", false)? },
+        "broken_streams" => Act::BrokenStreams { share: share()? },
+        "slow_channel" => Act::SlowChannel { times: times()? },
+        "steward_killed" => Act::StewardKilled,
+        "slow_link" => Act::SlowLink {
+            zone: need_zone()?,
+            other: zone("other")?,
+            delay: section.need_within("delay", 0.0, 60.0)?,
+            lost: section.within("lost", 0.0, 0.0, 1.0)?,
+        },
+        "refused_version" => Act::RefusedVersion { share: share()? },
+        other => return Err(section.wrong("kind", format!("'{other}' is not known"))),
+    };
+    let trouble = Trouble {
+        name: section.name["trouble ".len()..].trim().to_owned(),
+        kind,
+        at: section.need_within("at", 0.0, day.length)?,
+        long: section.within("for", 0.0, 0.0, 3600.0)?,
+        act,
+    };
+    section.done()?;
+    Ok(trouble)
+}
+
+fn ghosts(section: &Section) -> Result<Vec<Ghost>, Complaint> {
+    let names = match section.list("how") {
+        names if names.is_empty() => vec!["refuse".to_owned()],
+        names => names,
+    };
+    let kinds = names.iter().map(|name| match name.as_str() {
+        "refuse" => Ok(Ghost::Refuse),
+        "error" => Ok(Ghost::Error),
+        "silent" => Ok(Ghost::Silent),
+        other => Err(section.wrong("how", format!("cannot be '{other}': refuse, error or silent"))),
+    });
+    kinds.collect()
+}
+
+/// Plays one trouble to its end; waits in its own coroutine.
+pub fn happen(trouble: &Trouble, number: usize, world: &Arc<World>) {
+    may::coroutine::sleep(seconds(world.began + trouble.at - now()));
+    let slower = match trouble.act {
+        Act::SlowChannel { times } => times,
+        _ => 0.0,
+    };
+    world.note_trouble(trouble, true, slower);
+    act_out(trouble, number, world);
+    let until = world.began + trouble.at + trouble.long;
+    may::coroutine::sleep(seconds(until - now()));
+    world.note_trouble(trouble, false, if slower > 0.0 { 1.0 } else { 0.0 });
+}
+
+fn act_out(trouble: &Trouble, number: usize, world: &Arc<World>) {
+    let until = world.began + trouble.at + trouble.long;
+    let wait = || may::coroutine::sleep(seconds(until - now()));
+    let chosen = |count: usize| world.choose(count, number);
+    let ail = |count: usize, on: &dyn Fn(&mut Ailments), off: &dyn Fn(&mut Ailments)| {
+        let hosts = chosen(count);
+        hosts.iter().for_each(|host| world.host(*host).ail(on));
+        wait();
+        hosts.iter().for_each(|host| world.host(*host).ail(off));
+    };
+    match &trouble.act {
+        Act::Crash { hosts } => {
+            let hosts = chosen(*hosts);
+            hosts.iter().for_each(|host| world.crash(*host));
+            wait();
+            hosts.iter().for_each(|host| world.start_again(*host));
+        }
+        Act::Deploy { hosts, batch, drain } => deploy(trouble, number, world, *hosts, *batch, *drain),
+        Act::Hang { hosts } => ail(*hosts, &|a| a.hangs = true, &|a| a.hangs = false),
+        Act::Slow { hosts, times } => ail(*hosts, &|a| a.slower *= times, &|a| a.slower /= times),
+        Act::AnswersLost { hosts, share } => {
+            ail(*hosts, &|a| a.answers_lost = *share, &|a| a.answers_lost = 0.0);
+        }
+        Act::Pauses { hosts, pause, every } => {
+            let hosts = chosen(*hosts);
+            while now() < until {
+                hosts.iter().for_each(|host| world.host(*host).ail(|a| a.still_until = now() + pause));
+                may::coroutine::sleep(seconds(pause + every));
+            }
+        }
+        Act::Neighbour { hosts, takes, every } => {
+            let (hosts, times) = (chosen(*hosts), 1.0 / (1.0 - takes));
+            while now() < until {
+                hosts.iter().for_each(|host| world.host(*host).ail(|a| a.slower *= times));
+                may::coroutine::sleep(seconds(every.min(until - now()).max(PULSE)));
+                hosts.iter().for_each(|host| world.host(*host).ail(|a| a.slower /= times));
+                may::coroutine::sleep(seconds(*every));
+            }
+        }
+        // These are in the operations as they were drawn.
+        Act::HotKey { .. } | Act::Heavy { .. } | Act::GiveUp { .. } | Act::Shift { .. } => {}
+        Act::Growth { times, .. } => {
+            let more = ((times - 1.0) * world.day.hosts as f64).round() as usize;
+            for _ in 0..more {
+                world.add_host();
+                may::coroutine::sleep(seconds(trouble.long / more as f64));
+            }
+        }
+        Act::LateSums { by } => {
+            world.set_sums_later(*by);
+            wait();
+            world.set_sums_later(0.0);
+        }
+        Act::ListShrinks { hosts } => {
+            let entries = chosen(*hosts).into_iter().map(|host| world.entry(host, "gone"));
+            world.roster.lie(number as u64, Some(entries.collect()));
+            wait();
+            world.roster.lie(number as u64, None);
+        }
+        Act::Ghosts { hosts, kinds } => {
+            let ghosts = (0..*hosts).filter_map(|n| world.add_ghost(&kinds[n % kinds.len()]));
+            let entries = ghosts.collect::<Vec<_>>().into_iter().map(|host| world.entry(host, "ready"));
+            world.roster.lie(number as u64, Some(entries.collect()));
+            wait();
+            world.roster.lie(number as u64, None);
+        }
+        Act::ListBreaks => {
+            world.roster.break_down(true);
+            wait();
+            world.roster.break_down(false);
+        }
+        Act::StoreAway => {
+            world.store.set_away(true);
+            wait();
+            world.store.set_away(false);
+        }
+        Act::LostZone { zone, silent } => {
+            let hosts = world.in_zone(*zone);
+            let each = |act: &dyn Fn(usize)| hosts.iter().for_each(|host| act(*host));
+            if *silent {
+                each(&|host| world.host(host).ail(|a| a.hangs = true));
+                wait();
+                each(&|host| world.host(host).ail(|a| a.hangs = false));
+            } else {
+                each(&|host| world.crash(host));
+                wait();
+                each(&|host| world.start_again(host));
+            }
+        }
+        Act::BrokenStreams { share } => world.some_proxies(*share, number, |proxy| proxy.break_stream()),
+        Act::RefusedVersion { share } => world.some_proxies(*share, number, |proxy| proxy.refuse_next()),
+        Act::SlowChannel { times } => {
+            world.around.channel.slow_down(*times);
+            wait();
+            world.around.channel.slow_down(1.0);
+        }
+        Act::StewardKilled => {
+            world.kill_steward();
+            wait();
+            world.start_steward();
+        }
+        Act::SlowLink { zone, other, delay, lost } => {
+            let link = SlowLink { zone: *zone, other: *other, delay: *delay, lost: *lost };
+            world.around.links.set(vec![link]);
+            wait();
+            world.around.links.set(Vec::new());
+        }
+    }
+}
+
+/// Batch after batch drains while its successors start cold.
+fn deploy(trouble: &Trouble, number: usize, world: &Arc<World>, hosts: usize, batch: usize, drain: f64) {
+    let leaving = world.choose(hosts, number);
+    let batches = leaving.len().div_ceil(batch).max(1);
+    for part in leaving.chunks(batch) {
+        for host in part {
+            world.drain(*host);
+            world.add_host();
+        }
+        let (ending, part) = (world.clone(), part.to_vec());
+        railhub_net::go(move || {
+            may::coroutine::sleep(seconds(drain));
+            part.iter().for_each(|host| ending.stop_drained(*host));
+        });
+        may::coroutine::sleep(seconds(trouble.long / batches as f64));
+    }
+}
+
+/// The same choice for the same day and trouble, whoever plays it.
+pub fn choose(day: &Day, number: usize, from: &[usize], count: usize) -> Vec<usize> {
+    let mut chance = draw::chance(day.seed, &format!("trouble {number}"));
+    let mut order = from.to_vec();
+    order.shuffle(&mut chance);
+    order.truncate(count);
+    order
+}
--- /dev/null
+++ b/crates/railhub-day/src/world.rs
@@ -0,0 +1,367 @@
+//! A fleet of stand-ins that runs, and what troubles may do to it.
+use crate::draw;
+use crate::play::{Launch, Launched};
+use crate::script::Day;
+use crate::troubles::{self, Ghost, Trouble};
+use may::sync::Mutex;
+use railhub_net::{now, Task};
+use railhub_record::{Limits, Recorder, StewardLife, What};
+use railhub_standin::channel::Channel;
+use railhub_standin::host::{Host, HostFacts, OpenHost, Repeated};
+use railhub_standin::links::Links;
+use railhub_standin::proxy::{Proxy, ProxyFacts, Sabotage, Surroundings};
+use railhub_standin::roster::{Roster, RosterEntry, DRAINING, GONE, READY};
+use railhub_standin::store::Store;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// Seconds between the opening of the fleet and the first operation: hosts, steward and proxies find each other.
+const JOIN_WITHIN: f64 = 2.0;
+
+pub struct World {
+    pub day: Day,
+    /// When the day's clock began, on the machine's.
+    pub began: f64,
+    pub around: Surroundings,
+    pub roster: Roster,
+    pub store: Store,
+    pub proxies: Vec<Arc<Proxy>>,
+    hosts: Mutex<Vec<Placed>>,
+    /// Hosts that a trouble holds already.
+    taken: Mutex<BTreeSet<usize>>,
+    repeated: Repeated,
+    launch: Option<Launch>,
+    steward: std::sync::Mutex<Option<Launched>>,
+    tasks: Mutex<Vec<Task>>,
+}
+
+struct Placed {
+    open: OpenHost,
+    started: Option<f64>,
+    weight: f64,
+    is_ghost: bool,
+    /// It is being replaced, or has been.
+    leaves: bool,
+}
+
+impl World {
+    /// Starts hosts, list, store and proxies; the steward follows with [`World::start_steward`]. Without a way
+    /// to launch one, proxies keep the tables that they are given here.
+    pub fn open(
+        day: &Day,
+        recorder: &Recorder,
+        launch: Option<Launch>,
+        sabotage: Option<Sabotage>,
+    ) -> io::Result<Arc<World>> {
+        let classes = Arc::new(day.class_facts());
+        let repeated = Repeated::default();
+        let facts = draw::hosts(day, day.hosts, "hosts");
+        let mut hosts = Vec::new();
+        for facts in &facts {
+            let open = OpenHost::open(facts.clone(), classes.clone(), repeated.clone(), recorder.clone())?;
+            open.host.start(false);
+            let weight = facts.cores as f64;
+            hosts.push(Placed { open, started: None, weight, is_ghost: false, leaves: false });
+        }
+        let tables = first_tables(day, &facts, &hosts);
+        let roster = Roster::open(recorder.clone())?;
+        roster.tell(hosts.iter().map(|placed| placed.entry(READY)).collect());
+        let zones: BTreeMap<_, _> =
+            hosts.iter().map(|placed| (placed.open.host.address, placed.open.host.facts.zone)).collect();
+        let around = Surroundings {
+            classes,
+            steward: Arc::default(),
+            zones: Arc::new(Mutex::new(zones)),
+            links: Links::default(),
+            channel: Channel::new(day.lines_a_second, day.limits.message_cost),
+            recorder: recorder.clone(),
+            later: Arc::default(),
+            newest: Arc::default(),
+        };
+        let proxies = (0..day.proxies).map(|n| {
+            // Cold hosts fall only to many; everything else one proxy can break alone.
+            let wrong = sabotage.filter(|how| n == 0 || *how == Sabotage::FloodsColdHosts);
+            Proxy::new(proxy_facts(day, n), around.clone(), tables.clone(), wrong)
+        });
+        let proxies: Vec<_> = proxies.collect();
+        Ok(Arc::new(World {
+            day: day.clone(),
+            began: now() + JOIN_WITHIN,
+            around,
+            roster,
+            store: Store::open(tables)?,
+            proxies,
+            hosts: Mutex::new(hosts),
+            taken: Mutex::default(),
+            repeated,
+            launch,
+            steward: std::sync::Mutex::new(None),
+            tasks: Mutex::default(),
+        }))
+    }
+
+    /// What the rules of this run are, written down first.
+    pub fn note_limits(&self) {
+        let (from, until) = (self.began, self.began + self.day.length);
+        self.around.recorder.note(0.0, What::Limits(Limits { from, until, ..self.day.limits.clone() }));
+    }
+
+    fn with_hosts<T>(&self, act: impl FnOnce(&mut Vec<Placed>) -> T) -> T {
+        act(&mut self.hosts.lock().expect("no holder panics"))
+    }
+
+    pub fn host(&self, place: usize) -> Arc<Host> {
+        self.with_hosts(|hosts| hosts[place].open.host.clone())
+    }
+
+    pub fn entry(&self, place: usize, phase: &'static str) -> RosterEntry {
+        self.with_hosts(|hosts| hosts[place].entry(phase))
+    }
+
+    /// So many hosts that live and that no other trouble holds; fewer if there are no more.
+    pub fn choose(&self, count: usize, trouble: usize) -> Vec<usize> {
+        let mut taken = self.taken.lock().expect("no holder panics");
+        let free: Vec<usize> = self.with_hosts(|hosts| {
+            let open = |n: &usize| !hosts[*n].is_ghost && !hosts[*n].leaves && !taken.contains(n);
+            (0..hosts.len()).filter(open).collect()
+        });
+        let chosen = troubles::choose(&self.day, trouble, &free, count);
+        taken.extend(&chosen);
+        chosen
+    }
+
+    pub fn in_zone(&self, zone: u32) -> Vec<usize> {
+        self.with_hosts(|hosts| {
+            let inside = |n: &usize| {
+                let placed = &hosts[*n];
+                placed.open.host.facts.zone == zone && !placed.is_ghost && !placed.leaves
+            };
+            (0..hosts.len()).filter(inside).collect()
+        })
+    }
+
+    /// Its process dies; the list notices later.
+    pub fn crash(&self, place: usize) {
+        self.host(place).die();
+        self.roster.tell_after(self.day.roster_notice, vec![self.entry(place, GONE)]);
+    }
+
+    /// It comes back cold, unless it was being replaced meanwhile.
+    pub fn start_again(&self, place: usize) {
+        if self.with_hosts(|hosts| hosts[place].leaves) || self.host(place).is_alive() {
+            return;
+        }
+        let host = self.host(place);
+        let started = host.start(true);
+        self.with_hosts(|hosts| hosts[place].started = Some(started));
+        // What the list has not noticed yet must not come after this word.
+        self.roster.tell_after(
+            self.day.roster_add.max(self.day.roster_notice + 0.05),
+            vec![self.entry(place, READY)],
+        );
+        *self.around.newest.lock().expect("no holder panics") = Some(host.address);
+    }
+
+    pub fn drain(&self, place: usize) {
+        self.with_hosts(|hosts| hosts[place].leaves = true);
+        self.host(place).ail(|ailments| ailments.drains = true);
+        self.roster.tell_after(self.day.roster_add, vec![self.entry(place, DRAINING)]);
+    }
+
+    pub fn stop_drained(&self, place: usize) {
+        self.host(place).die();
+        self.roster.tell_after(self.day.roster_add, vec![self.entry(place, GONE)]);
+    }
+
+    /// A new machine, cold.
+    pub fn add_host(&self) {
+        let count = self.with_hosts(|hosts| hosts.len());
+        let mut facts = draw::hosts(&self.day, self.day.hosts, &format!("host {count}"))
+            .swap_remove(count % self.day.hosts);
+        facts.zone = (count % self.day.zones.len()) as u32;
+        let Some(place) = self.place_host(facts, false) else { return };
+        let host = self.host(place);
+        let started = host.start(true);
+        self.with_hosts(|hosts| hosts[place].started = Some(started));
+        self.roster.tell_after(self.day.roster_add, vec![self.entry(place, READY)]);
+        *self.around.newest.lock().expect("no holder panics") = Some(host.address);
+    }
+
+    /// Something that is listed and is none of ours.
+    pub fn add_ghost(&self, kind: &Ghost) -> Option<usize> {
+        let facts = draw::hosts(&self.day, 1, "ghost").swap_remove(0);
+        let place = self.place_host(facts, true)?;
+        let host = self.host(place);
+        if *kind != Ghost::Refuse {
+            host.start(false);
+            host.ail(|ailments| match kind {
+                Ghost::Error => ailments.fails = true,
+                _ => ailments.hangs = true,
+            });
+        }
+        Some(place)
+    }
+
+    fn place_host(&self, facts: HostFacts, is_ghost: bool) -> Option<usize> {
+        let (weight, zone) = (facts.cores as f64, facts.zone);
+        let classes = self.around.classes.clone();
+        let opened = OpenHost::open(facts, classes, self.repeated.clone(), self.around.recorder.clone());
+        let open = opened.inspect_err(|error| tracing::error!(%error, "a host cannot listen")).ok()?;
+        self.around.zones.lock().expect("no holder panics").insert(open.host.address, zone);
+        Some(self.with_hosts(|hosts| {
+            hosts.push(Placed { open, started: None, weight, is_ghost, leaves: false });
+            hosts.len() - 1
+        }))
+    }
+
+    pub fn some_proxies(&self, share: f64, trouble: usize, act: impl Fn(&Proxy)) {
+        let all: Vec<usize> = (0..self.proxies.len()).collect();
+        let count = (share * all.len() as f64).round() as usize;
+        troubles::choose(&self.day, trouble, &all, count.max(1)).iter().for_each(|n| act(&self.proxies[*n]));
+    }
+
+    pub fn set_sums_later(&self, by: f64) {
+        self.around.later.store((by * 1000.0) as u64, Ordering::Relaxed);
+    }
+
+    pub fn note_trouble(&self, trouble: &Trouble, on: bool, channel_slower: f64) {
+        let note = format!("{:?}", trouble.act);
+        let name = format!("{} ({})", trouble.name, trouble.kind);
+        let event = railhub_record::Trouble { name, on, note, channel_slower };
+        self.around.recorder.note(now(), What::Trouble(event));
+    }
+
+    /// Launches a steward and tells the proxies where it is. Waits for it: not in a coroutine.
+    fn launch_steward(&self) -> Result<(), String> {
+        let Some(launch) = &self.launch else { return Ok(()) };
+        let launched = launch(&steward_file(&self.day, &self.roster, &self.store))?;
+        self.around.recorder.note(now(), What::StewardLife(StewardLife { up: true }));
+        *self.around.steward.lock().expect("no holder panics") = Some(launched.address);
+        *self.steward.lock().expect("no holder panics") = Some(launched);
+        Ok(())
+    }
+
+    /// The first steward.
+    pub fn open_steward(&self) -> Result<(), String> {
+        self.launch_steward()
+    }
+
+    pub fn start_steward(self: &Arc<World>) {
+        let world = self.clone();
+        std::thread::spawn(move || {
+            if let Err(error) = world.launch_steward() {
+                tracing::error!(error, "the steward does not start again");
+            }
+        });
+    }
+
+    pub fn kill_steward(&self) {
+        let launched = self.steward.lock().expect("no holder panics").take();
+        *self.around.steward.lock().expect("no holder panics") = None;
+        if let Some(launched) = launched {
+            (launched.kill)();
+            self.around.recorder.note(now(), What::StewardLife(StewardLife { up: false }));
+        }
+    }
+
+    pub fn follow_steward(&self) {
+        if self.launch.is_some() {
+            let mut tasks = self.tasks.lock().expect("no holder panics");
+            tasks.extend(self.proxies.iter().flat_map(|proxy| proxy.follow_steward()));
+        }
+    }
+
+    /// Ends everything.
+    pub fn close(&self) {
+        self.tasks.lock().expect("no holder panics").clear();
+        self.kill_steward();
+        self.proxies.iter().for_each(|proxy| {
+            proxy.break_stream();
+            proxy.close();
+        });
+        let hosts: Vec<_> = self.with_hosts(|hosts| hosts.iter().map(|p| p.open.host.clone()).collect());
+        hosts.iter().for_each(|host: &Arc<Host>| host.die());
+    }
+}
+
+impl Placed {
+    fn entry(&self, phase: &'static str) -> RosterEntry {
+        let (host, kind) = (self.open.host.address, self.open.host.facts.kind);
+        RosterEntry { host, phase, started: self.started, weight: self.weight, kind }
+    }
+}
+
+fn proxy_facts(day: &Day, n: usize) -> ProxyFacts {
+    ProxyFacts {
+        number: n as u32,
+        zone: (n % day.zones.len()) as u32,
+        pick: day.pick,
+        hold: day.hold,
+        first_wait: day.first_wait,
+        connect_within: day.connect_within,
+        report_every: day.report_every,
+        report_late: day.report_late,
+        redial: day.redial,
+        seed: day.seed ^ (n as u64) << 20,
+    }
+}
+
+fn first_tables(
+    day: &Day,
+    facts: &[HostFacts],
+    hosts: &[Placed],
+) -> BTreeMap<u32, Vec<(std::net::SocketAddr, f64)>> {
+    let address = |n: usize| hosts[n].open.host.address;
+    if day.slices == 0 {
+        return BTreeMap::from([(
+            0,
+            (0..hosts.len()).map(|n| (address(n), facts[n].cores as f64)).collect(),
+        )]);
+    }
+    let owners = draw::first_owners(day, facts);
+    owners.iter().enumerate().map(|(slice, owner)| (slice as u32, vec![(address(*owner), 1.0)])).collect()
+}
+
+/// The settings of the steward of a day.
+pub fn steward_file(day: &Day, roster: &Roster, store: &Store) -> String {
+    use std::fmt::Write;
+    let limits = &day.limits;
+    let mut text =
+        format!("[steward]\nlisten = 127.0.0.1:0\nroster = {}\nslices = {}\n", roster.address, day.slices);
+    if day.slices > 0 {
+        let _ = writeln!(text, "store = {}", store.address);
+    }
+    let binds = if limits.only_draining_binds { "no" } else { "yes" };
+    let _ = write!(
+        text,
+        "removal_binds = {binds}\n\n[limits]\nfirst_wait = {}\ncold_from = {}\nwarm_within = {}\n\
+         fall_multiple = {}\nbacklog = {}\nmessage_cost = {}\nmessage_cap = {}\nmessages_span = {}\n\
+         reports_a_second = {}\n",
+        day.first_wait,
+        limits.cold_from,
+        limits.warm_within,
+        limits.fall_multiple,
+        limits.backlog,
+        limits.message_cost,
+        limits.message_cap,
+        limits.messages_span,
+        day.reports_a_second,
+    );
+    for class in &limits.classes {
+        use railhub_record::Repeats;
+        let repeats = match class.repeats() {
+            Repeats::Safe => "safe".to_owned(),
+            Repeats::KeyedEverywhere => format!("keyed\nkey_window = {}", class.key_window),
+            Repeats::KeyedNearby => "keyed nearby".to_owned(),
+            Repeats::Never => "never".to_owned(),
+        };
+        let _ = write!(
+            text,
+            "\n[class {}]\ncontract_time = {}\ngain = {}\nrepeats = {repeats}\n",
+            class.name, class.contract_time, class.gain
+        );
+    }
+    text
+}
