--- a/crates/railhub-day/src/troubles.rs
+++ b/crates/railhub-day/src/troubles.rs
@@ -194,6 +194,7 @@
         hosts.iter().for_each(|host| world.host(*host).ail(on));
         wait();
         hosts.iter().for_each(|host| world.host(*host).ail(off));
+        world.release(&hosts);
     };
     match &trouble.act {
         Act::Crash { hosts } => {
@@ -201,6 +202,7 @@
             hosts.iter().for_each(|host| world.crash(*host));
             wait();
             hosts.iter().for_each(|host| world.start_again(*host));
+            world.release(&hosts);
         }
         Act::Deploy { hosts, batch, drain } => deploy(trouble, number, world, *hosts, *batch, *drain),
         Act::Hang { hosts } => ail(*hosts, &|a| a.hangs = true, &|a| a.hangs = false),
@@ -236,7 +238,7 @@
         Act::LateSums { by } => {
             world.set_sums_later(*by);
             wait();
-            world.set_sums_later(0.0);
+            world.set_sums_later(-by);
         }
         Act::ListShrinks { hosts } => {
             let entries = chosen(*hosts).into_iter().map(|host| world.entry(host, "gone"));
@@ -279,7 +281,7 @@
         Act::SlowChannel { times } => {
             world.around.channel.slow_down(*times);
             wait();
-            world.around.channel.slow_down(1.0);
+            world.around.channel.slow_down(1.0 / times);
         }
         Act::StewardKilled => {
             world.kill_steward();
@@ -288,9 +290,9 @@
         }
         Act::SlowLink { zone, other, delay, lost } => {
             let link = SlowLink { zone: *zone, other: *other, delay: *delay, lost: *lost };
-            world.around.links.set(vec![link]);
+            world.around.links.slow_down(number, link);
             wait();
-            world.around.links.set(Vec::new());
+            world.around.links.mend(number);
         }
     }
 }
--- a/crates/railhub-day/src/world.rs
+++ b/crates/railhub-day/src/world.rs
@@ -81,8 +81,8 @@
             newest: Arc::default(),
         };
         let proxies = (0..day.proxies).map(|n| {
-            // Cold hosts fall only to many; everything else one proxy can break alone.
-            let wrong = sabotage.filter(|how| n == 0 || *how == Sabotage::FloodsColdHosts);
+            // Cold hosts fall only to many; everything else a few proxies can break alone.
+            let wrong = sabotage.filter(|how| n % 6 == 0 || *how == Sabotage::FloodsColdHosts);
             Proxy::new(proxy_facts(day, n), around.clone(), tables.clone(), wrong)
         });
         let proxies: Vec<_> = proxies.collect();
@@ -132,6 +132,12 @@
         chosen
     }
 
+    /// A trouble is over: others may strike these hosts.
+    pub fn release(&self, hosts: &[usize]) {
+        let mut taken = self.taken.lock().expect("no holder panics");
+        hosts.iter().for_each(|host| _ = taken.remove(host));
+    }
+
     pub fn in_zone(&self, zone: u32) -> Vec<usize> {
         self.with_hosts(|hosts| {
             let inside = |n: &usize| {
@@ -222,8 +228,9 @@
         troubles::choose(&self.day, trouble, &all, count.max(1)).iter().for_each(|n| act(&self.proxies[*n]));
     }
 
+    /// Sums come so much later than so far; below 0: earlier again.
     pub fn set_sums_later(&self, by: f64) {
-        self.around.later.store((by * 1000.0) as u64, Ordering::Relaxed);
+        self.around.later.fetch_add((by * 1000.0).round() as i64, Ordering::Relaxed);
     }
 
     pub fn note_trouble(&self, trouble: &Trouble, on: bool, channel_slower: f64) {
--- a/crates/railhub-standin/src/channel.rs
+++ b/crates/railhub-standin/src/channel.rs
@@ -22,8 +22,9 @@
         Channel { inner: Arc::new(Mutex::new(inner)), message_cost }
     }
 
+    /// So many times slower from now on, besides what slows it already.
     pub fn slow_down(&self, times: f64) {
-        self.inner.lock().expect("no holder panics").slower = times.max(1.0);
+        self.inner.lock().expect("no holder panics").slower *= times;
     }
 
     /// Waits until a message of so many lines has passed.
--- a/crates/railhub-standin/src/links.rs
+++ b/crates/railhub-standin/src/links.rs
@@ -1,5 +1,6 @@
 //! The ways between zones: how long a message takes, and how many are lost.
 use may::sync::Mutex;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 #[derive(Clone, Copy, Debug)]
@@ -14,12 +15,17 @@
 
 #[derive(Clone, Default)]
 pub struct Links {
-    slow: Arc<Mutex<Vec<SlowLink>>>,
+    slow: Arc<Mutex<BTreeMap<usize, SlowLink>>>,
 }
 
 impl Links {
-    pub fn set(&self, slow: Vec<SlowLink>) {
-        *self.slow.lock().expect("no holder panics") = slow;
+    /// What a trouble of such a number does to the ways.
+    pub fn slow_down(&self, trouble: usize, link: SlowLink) {
+        self.slow.lock().expect("no holder panics").insert(trouble, link);
+    }
+
+    pub fn mend(&self, trouble: usize) {
+        self.slow.lock().expect("no holder panics").remove(&trouble);
     }
 
     /// Seconds more each way between two zones, and the share lost.
@@ -29,7 +35,7 @@
             let other = |zone| link.other.is_none_or(|end| end == zone);
             a != b && (link.zone == a && other(b) || link.zone == b && other(a))
         };
-        let met = slow.iter().filter(joins);
+        let met = slow.values().filter(joins);
         met.fold((0.0, 0.0), |(delay, lost), link| (delay + link.delay, f64::max(lost, link.lost)))
     }
 }
--- a/crates/railhub-standin/src/proxy.rs
+++ b/crates/railhub-standin/src/proxy.rs
@@ -17,7 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::Arc;
 
 /// Seconds between looks while an operation waits for a table, and while no steward is known.
@@ -66,7 +66,7 @@
     pub channel: Channel,
     pub recorder: Recorder,
     /// Seconds that sums are later than usual, in thousandths.
-    pub later: Arc<AtomicU64>,
+    pub later: Arc<AtomicI64>,
     /// A host that has just started, for sabotage.
     pub newest: Arc<Mutex<Option<SocketAddr>>>,
 }
