--- /dev/null
+++ b/crates/railhub-steward/tests/common/mod.rs
@@ -0,0 +1,264 @@
+//! A small fleet round a steward, and peers that are driven step by step.
+#![allow(dead_code)]
+use railhub::{ClassTerms, Repeat, Terms};
+use railhub_proto::{
+    frame, from_proxy, from_steward, Ack, Deframer, Delta, FromProxy, FromSteward, Refusal, Subscribe, Sums,
+    FROM_STEWARD_LIMIT,
+};
+use railhub_record::{Recorder, Repeats};
+use railhub_standin::held::Held;
+use railhub_standin::host::{HostFacts, OpenHost, Repeated};
+use railhub_standin::roster::{Roster, RosterEntry, READY};
+use railhub_standin::store::Store;
+use railhub_standin::ClassFacts;
+use railhub_steward::{Installation, Running};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Once};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; only a failing test waits for it.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub struct Fleet {
+    pub hosts: Vec<OpenHost>,
+    pub roster: Roster,
+    pub store: Store,
+    pub installation: Installation,
+}
+
+fn facts(zone: u32) -> HostFacts {
+    HostFacts {
+        zone,
+        kind: 0,
+        cores: 4,
+        speed: 1.0,
+        queue: 40,
+        cold_from: 0.3,
+        warm_after: 1.0,
+        connections: 1000,
+        probe_work: 0.0,
+        busy_every: 0.0,
+        kept_gain: 0.0,
+        kept_for: 0.0,
+    }
+}
+
+pub fn fleet(hosts: usize, slices: u16) -> Fleet {
+    static START: Once = Once::new();
+    START.call_once(railhub_net::start);
+    let recorder = Recorder::start(None).expect("in memory");
+    let class = ClassFacts {
+        name: "view".into(),
+        contract_time: 1.0,
+        hard_stop: 2.0,
+        gain: 1.0,
+        repeats: Repeats::Safe,
+        key_window: 0.0,
+        writes: false,
+    };
+    let classes = Arc::new(vec![class]);
+    let open = |n| {
+        let host = OpenHost::open(facts(n % 2), classes.clone(), Repeated::default(), recorder.clone());
+        let host = host.expect("loopback");
+        host.host.start(false);
+        host
+    };
+    let hosts: Vec<OpenHost> = (0..hosts as u32).map(open).collect();
+    let roster = Roster::open(recorder.clone()).expect("loopback");
+    roster.tell((0..hosts.len()).map(|n| entry(&hosts, n, READY)).collect());
+    let owner = |slice: u16| hosts[usize::from(slice) % hosts.len()].host.address;
+    let tables = (0..slices).map(|slice| (u32::from(slice), vec![(owner(slice), 1.0)]));
+    let store = Store::open(tables.collect()).expect("loopback");
+    let terms = Terms {
+        classes: vec![ClassTerms { contract_time: 1.0, gain: 1.0, repeat: Repeat::Safe }],
+        slices,
+        may_probe: true,
+        dropped_may_stay: true,
+        levels_by_share: true,
+        cold_from: 0.3,
+        warm_within: 1.0,
+        fall_multiple: 2.5,
+        backlog: 1e6,
+        message_cost: 8.0,
+        message_cap: 0,
+        messages_span: 10.0,
+        first_wait: 1.0,
+        ..Terms::default()
+    };
+    let installation = Installation {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        roster: roster.address,
+        store: (slices > 0).then_some(store.address),
+        terms,
+        class_names: vec!["view".into()],
+        reports_a_second: 1000.0,
+        probe_within: 0.4,
+        probes_at_once: 16,
+        stuck_after: 3.0,
+        first_within: 2.0,
+        silent_after: 30.0,
+        streams_most: 1000,
+    };
+    Fleet { hosts, roster, store, installation }
+}
+
+pub fn entry(hosts: &[OpenHost], n: usize, phase: &'static str) -> RosterEntry {
+    let host = hosts[n].host.address;
+    RosterEntry { host, phase, started: None, weight: 4.0, kind: 0 }
+}
+
+impl Fleet {
+    pub fn start(&self) -> Running {
+        Running::start(self.installation.clone()).expect("loopback")
+    }
+
+    pub fn list(&self, n: usize, phase: &'static str) {
+        self.roster.tell(vec![entry(&self.hosts, n, phase)]);
+    }
+
+    pub fn address(&self, n: usize) -> SocketAddr {
+        self.hosts[n].host.address
+    }
+}
+
+/// A proxy that does what a test says.
+pub struct Peer {
+    pub stream: TcpStream,
+    deframer: Deframer,
+    pub held: Held,
+}
+
+/// What ended a wait.
+#[derive(Debug, PartialEq)]
+pub enum Heard {
+    Delta(Box<Delta>),
+    Goodbye(String),
+    Closed,
+    Nothing,
+}
+
+impl Peer {
+    pub fn dial(steward: SocketAddr, number: u32) -> Peer {
+        Peer::dial_as(steward, number, u64::from(number) + 1, Held::default())
+    }
+
+    /// As such a process, holding something already.
+    pub fn dial_as(steward: SocketAddr, number: u32, process: u64, held: Held) -> Peer {
+        let stream = TcpStream::connect(steward).expect("the steward listens");
+        let mut peer = Peer::new(stream, held);
+        let (incarnation, version) = (peer.held.incarnation, peer.held.version);
+        let subscribe = Subscribe { proxy: number, zone: number % 2, process, incarnation, version };
+        peer.say(from_proxy::Word::Subscribe(subscribe));
+        peer
+    }
+
+    /// A connection that has said nothing yet.
+    pub fn new(stream: TcpStream, held: Held) -> Peer {
+        Peer { stream, deframer: Deframer::new(FROM_STEWARD_LIMIT), held }
+    }
+
+    pub fn say(&mut self, word: from_proxy::Word) {
+        let _ = self.stream.write_all(&frame(&FromProxy { word: Some(word) }));
+    }
+
+    pub fn hear(&mut self, within: Duration) -> Heard {
+        let until = Instant::now() + within;
+        loop {
+            match self.deframer.message::<FromSteward>().expect("a steward sends messages") {
+                Some(FromSteward { word: Some(from_steward::Word::Delta(delta)) }) => {
+                    return Heard::Delta(Box::new(delta))
+                }
+                Some(FromSteward { word: Some(from_steward::Word::Goodbye(goodbye)) }) => {
+                    return Heard::Goodbye(goodbye.reason)
+                }
+                _ => {}
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Heard::Nothing;
+            }
+            let _ = self.stream.set_read_timeout(Some(left));
+            let mut bytes = [0; 65_536];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return Heard::Closed,
+                Ok(read) => self.deframer.push(&bytes[..read]),
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                {
+                    return Heard::Nothing
+                }
+                Err(_) => return Heard::Closed,
+            }
+        }
+    }
+
+    /// The next delta, neither taken in nor answered.
+    pub fn delta(&mut self) -> Delta {
+        match self.hear(LONG) {
+            Heard::Delta(delta) => *delta,
+            other => panic!("a delta was due, not {other:?}"),
+        }
+    }
+
+    /// Takes a delta in and says so.
+    pub fn accept(&mut self, delta: &Delta) {
+        self.held.take_in(delta).expect("a good delta");
+        self.say(from_proxy::Word::Ack(Ack { nonce: delta.nonce }));
+    }
+
+    pub fn refuse(&mut self, delta: &Delta) {
+        self.held.has_gap = true;
+        self.say(from_proxy::Word::Refusal(Refusal { nonce: delta.nonce, reason: "a test".into() }));
+    }
+
+    /// Obeys until what it holds is as wanted.
+    pub fn obey_until(&mut self, wanted: impl Fn(&Held) -> bool) {
+        let until = Instant::now() + LONG;
+        while !wanted(&self.held) {
+            assert!(Instant::now() < until, "it never came to hold that: {:?}", self.held);
+            if let Heard::Delta(delta) = self.hear(Duration::from_millis(200)) {
+                self.accept(&delta);
+            }
+        }
+    }
+
+    /// Obeys for so long.
+    pub fn obey_for(&mut self, span: Duration) {
+        let until = Instant::now() + span;
+        while let Some(left) = until.checked_duration_since(Instant::now()) {
+            match self.hear(left) {
+                Heard::Delta(delta) => self.accept(&delta),
+                Heard::Nothing => {}
+                other => panic!("the stream ended: {other:?}"),
+            }
+        }
+    }
+
+    pub fn report(&mut self, sums: Sums) {
+        self.say(from_proxy::Word::Sums(sums));
+    }
+}
+
+/// Whether any line of a table names the host.
+pub fn names(held: &Held, host: SocketAddr) -> bool {
+    held.tables().values().flatten().any(|line| line.0 == host)
+}
+
+/// All tables, their lines in order.
+pub fn tables(held: &Held) -> Vec<(u32, Vec<(SocketAddr, f64)>)> {
+    let sorted = |lines: &Vec<(SocketAddr, f64)>| {
+        let mut lines = lines.clone();
+        lines.sort_by_key(|line| line.0);
+        lines
+    };
+    held.tables().iter().filter(|(_, t)| !t.is_empty()).map(|(slice, t)| (*slice, sorted(t))).collect()
+}
+
+pub fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let until = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < until, "never came about: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
