The service keeps the message cap by itself; time from decision to last word is measured

Need: without slices the decisions write on each change of warmth, so nothing kept messages per proxy within the limit; and operators ask how long a change takes to reach all. Change: a proxy's outbox folds past the cap; spread figures. Offered load follows the keys that are met again instead of a fixed guess. Result: a test that pushes 400 deltas at a cap of 5 in 10 s sees no more than 5 leave in any 10 s.

--- a/crates/railhub-day/src/draw.rs
+++ b/crates/railhub-day/src/draw.rs
@@ -8,8 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal, Zipf};
 
-/// Share of operations expected to meet a key that its host has met lately; sets the offered load.
-const KEYS_MET: f64 = 0.4;
+/// How unequal keys of a slice are.
+const KEY_EXPONENT: f64 = 0.7;
+/// Rounds in which rate and keys met are brought into agreement: they change little after the first.
+const ROUNDS: usize = 4;
 
 /// One operation, and when and where it comes. Seconds from the start of the day.
 #[derive(Clone, Copy, Debug)]
@@ -102,15 +104,32 @@
         .unwrap_or(weights.len() - 1)
 }
 
+/// Operations a second that ask for the day's share of what hosts can do, when slices stay where they are and
+/// keys are met again as often as such a rate brings them.
+fn offered_rate(day: &Day, capacity: f64, work: f64, sizes: &[f64]) -> f64 {
+    let weights: Vec<f64> = (1..=day.keys).map(|key| (key as f64).powf(-KEY_EXPONENT)).collect();
+    let all: f64 = weights.iter().sum();
+    let mut rate = day.load * capacity / work;
+    for _ in 0..ROUNDS {
+        let met_in = |size: &f64| -> f64 {
+            let again = |weight: &f64| 1.0 - (-rate * size * weight / all * day.kept_for).exp();
+            size * weights.iter().map(|weight| weight / all * again(weight)).sum::<f64>()
+        };
+        let met: f64 = sizes.iter().map(met_in).sum();
+        rate = day.load * capacity / (work * (1.0 - day.kept_gain * met));
+    }
+    rate
+}
+
 pub fn arrivals(day: &Day, capacity: f64) -> Vec<Arrival> {
     let mut chance = chance(day.seed, "operations");
     let sizes = slice_sizes(day);
     let shares: Vec<f64> = day.classes.iter().map(|class| class.share).collect();
     let work: f64 =
         day.classes.iter().map(|class| class.share * class.work).sum::<f64>() / shares.iter().sum::<f64>();
-    let rate = day.load * capacity / (work * (1.0 - day.kept_gain * KEYS_MET));
+    let rate = offered_rate(day, capacity, work, &sizes);
     let proxies: Vec<f64> = (0..day.proxies).map(|_| spread(&mut chance, 1.0, 0.7)).collect();
-    let keys = Zipf::new(day.keys as f64, 0.7).expect("at least one key and a positive exponent");
+    let keys = Zipf::new(day.keys as f64, KEY_EXPONENT).expect("at least one key and a positive exponent");
     let heaviest = (0..day.classes.len())
         .max_by(|a, b| day.classes[*a].work.total_cmp(&day.classes[*b].work))
         .unwrap_or(0);
--- a/crates/railhub-steward/src/outbox.rs
+++ b/crates/railhub-steward/src/outbox.rs
@@ -9,6 +9,8 @@
 
 /// Deltas written and not confirmed at once: past it they fold, so that a slow proxy gets few large ones.
 const IN_FLIGHT: usize = 4;
+/// Seconds on top of the cap's span: a message that leaves late by so much must not meet one that does not.
+const CAP_SLACK: Seconds = 0.2;
 
 /// A change with its version, encoded once for all proxies that get it as it is.
 #[derive(Debug)]
@@ -48,8 +50,27 @@
     at: Seconds,
 }
 
+/// How many messages a proxy may get within a span; 0: as many as there are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MessageCap {
+    pub most: u32,
+    pub span: Seconds,
+}
+
+/// What a writer is to do next.
+#[derive(Debug)]
+pub enum Next {
+    Write(Arc<Publication>),
+    /// The cap lets the next message leave then; until then what comes is folded.
+    WaitUntil(Seconds),
+    Nothing,
+}
+
 #[derive(Default)]
 pub struct Outbox {
+    cap: MessageCap,
+    /// When the latest messages left, as many as the cap looks at.
+    left_at: VecDeque<Seconds>,
     waiting: Option<Arc<Publication>>,
     in_flight: VecDeque<Sent>,
     /// What the proxy refused: it goes along with the next change, not by itself.
@@ -59,6 +80,10 @@
 }
 
 impl Outbox {
+    pub fn new(cap: MessageCap) -> Outbox {
+        Outbox { cap, ..Outbox::default() }
+    }
+
     pub fn push(&mut self, publication: Arc<Publication>) {
         let publication = match self.held.take() {
             None => publication,
@@ -77,14 +102,23 @@
         });
     }
 
-    /// What to write next, if the proxy has confirmed enough of what went before.
-    pub fn take(&mut self, now: Seconds) -> Option<Arc<Publication>> {
-        if self.in_flight.len() >= IN_FLIGHT {
-            return None;
+    /// What to write next, if the proxy has confirmed enough of what went before and the cap allows it.
+    pub fn take(&mut self, now: Seconds) -> Next {
+        if self.waiting.is_none() || self.in_flight.len() >= IN_FLIGHT {
+            return Next::Nothing;
+        }
+        while self.left_at.front().is_some_and(|at| now - at > self.cap.span) {
+            self.left_at.pop_front();
+        }
+        if self.cap.most > 0 && self.left_at.len() >= self.cap.most as usize {
+            return Next::WaitUntil(self.left_at[0] + self.cap.span + CAP_SLACK);
         }
-        let publication = self.waiting.take()?;
+        if self.cap.most > 0 {
+            self.left_at.push_back(now);
+        }
+        let publication = self.waiting.take().expect("looked at above");
         self.in_flight.push_back(Sent { publication: publication.clone(), at: now });
-        Some(publication)
+        Next::Write(publication)
     }
 
     /// The proxy has taken in the delta of this nonce, and so all before it; the latest mark among them.
@@ -134,6 +168,13 @@
     use super::*;
     use railhub::{ClassId, HostId, SecondTry, SliceId};
 
+    fn take(outbox: &mut Outbox, now: Seconds) -> Option<Arc<Publication>> {
+        match outbox.take(now) {
+            Next::Write(publication) => Some(publication),
+            Next::WaitUntil(_) | Next::Nothing => None,
+        }
+    }
+
     fn line(version: u64, slice: u16, weight: f64) -> Arc<Publication> {
         let host = HostId("127.0.0.1:8000".parse().expect("an address"));
         let change = Change { lines: [((SliceId(slice), host), weight)].into(), ..Change::default() };
@@ -145,11 +186,11 @@
         let mut outbox = Outbox::default();
         for version in 1..=1000 {
             outbox.push(line(version, version as u16 % 7, version as f64));
-            let _ = outbox.take(0.0);
+            let _ = take(&mut outbox, 0.0);
         }
         assert_eq!(outbox.lines(0.0), 4.0 + 7.0, "four in flight, the rest folded");
         assert_eq!(outbox.confirm(4), Some(Some(MarkId(4))));
-        let last = outbox.take(0.0).expect("waiting");
+        let last = take(&mut outbox, 0.0).expect("waiting");
         assert_eq!((last.version, last.ordered_at, last.mark), (1000, 5.0, Some(MarkId(1000))));
     }
 
@@ -157,11 +198,11 @@
     fn a_refused_version_is_not_repeated_until_something_is_new() {
         let mut outbox = Outbox::default();
         outbox.push(line(1, 1, 1.0));
-        assert!(outbox.take(0.0).is_some());
+        assert!(take(&mut outbox, 0.0).is_some());
         assert_eq!(outbox.refuse(1), Some(Some(MarkId(1))));
-        assert!(outbox.take(0.0).is_none(), "no loop");
+        assert!(take(&mut outbox, 0.0).is_none(), "no loop");
         outbox.push(line(2, 2, 1.0));
-        let next = outbox.take(0.0).expect("news");
+        let next = take(&mut outbox, 0.0).expect("news");
         assert_eq!(next.change.lines.len(), 2, "what was refused goes along");
     }
 
@@ -170,12 +211,12 @@
         let mut outbox = Outbox::default();
         for version in 1..=2 {
             outbox.push(line(version, 1, version as f64));
-            assert!(outbox.take(0.0).is_some());
+            assert!(take(&mut outbox, 0.0).is_some());
         }
         outbox.refuse(1);
         assert_eq!(outbox.confirm(2), Some(Some(MarkId(2))));
         outbox.push(line(3, 3, 1.0));
-        let next = outbox.take(0.0).expect("news");
+        let next = take(&mut outbox, 0.0).expect("news");
         assert_eq!(next.change.lines.keys().map(|key| key.0).collect::<Vec<_>>(), [SliceId(3)]);
     }
 
@@ -184,7 +225,7 @@
         let mut outbox = Outbox::default();
         outbox.push(line(1, 1, 1.0));
         assert_eq!(outbox.confirm(1), None, "not sent yet");
-        assert!(outbox.take(0.0).is_some());
+        assert!(take(&mut outbox, 0.0).is_some());
         assert!(outbox.confirm(1).is_some());
         assert_eq!((outbox.confirm(1), outbox.refuse(99)), (None, None));
         assert!(outbox.is_idle());
@@ -197,7 +238,27 @@
         outbox.push(Arc::new(Publication::new(whole, 1, 1, 0.0, None)));
         let level = Change { levels: [(ClassId(0), (0.5, SecondTry::Never))].into(), ..Change::default() };
         outbox.push(Arc::new(Publication::new(level, 1, 2, 1.0, Some(MarkId(1)))));
-        let folded = outbox.take(0.0).expect("waiting");
+        let folded = take(&mut outbox, 0.0).expect("waiting");
         assert!(folded.change.reset && folded.change.levels.len() == 1);
     }
+
+    #[test]
+    fn no_more_messages_leave_than_the_cap_and_the_rest_is_folded() {
+        let mut outbox = Outbox::new(MessageCap { most: 5, span: 10.0 });
+        let mut left = Vec::new();
+        for version in 1..=400 {
+            let now = version as f64 * 0.1;
+            outbox.push(line(version, 1, now));
+            if let Some(publication) = take(&mut outbox, now) {
+                left.push(now);
+                outbox.confirm(publication.version);
+            }
+        }
+        let most =
+            left.iter().map(|at| left.iter().filter(|other| (0.0..=10.0).contains(&(*other - at))).count());
+        assert_eq!(most.max(), Some(5));
+        assert!(left.len() >= 18, "{left:?}");
+        outbox.push(line(401, 1, 0.0));
+        assert!(matches!(outbox.take(40.0), Next::WaitUntil(until) if until > 40.0));
+    }
 }
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -45,6 +45,10 @@
     pub late_99: Seconds,
     pub late_most: Seconds,
     pub longest_round: Seconds,
+    /// From the decision to the last proxy's word: half of the changes, 99 of 100, the latest one.
+    pub spread_half: Seconds,
+    pub spread_99: Seconds,
+    pub spread_last: Seconds,
 }
 
 /// A proxy with a stream.
@@ -117,7 +121,11 @@
     listed: bool,
     charged: bool,
     looked_at: Seconds,
+    /// Proxies that owe a word on something, and when the oldest of it was ordered.
+    owing: BTreeSet<ProxyId>,
+    ordered_at: Seconds,
     lateness: Histogram<u64>,
+    spread: Histogram<u64>,
     figures: Figures,
     shown: Arc<Mutex<Figures>>,
 }
@@ -148,7 +156,10 @@
             round: Round::default(),
             listed: false,
             looked_at: now,
+            owing: BTreeSet::new(),
+            ordered_at: now,
             lateness: Histogram::new(3).expect("three digits are allowed"),
+            spread: Histogram::new(3).expect("three digits are allowed"),
             figures: Figures::default(),
             shown,
             installation,
@@ -205,27 +216,38 @@
             Word::Joins { stream, subscribe, door } => self.join(stream, subscribe, door),
             Word::Leaves { stream, proxy, why } => self.leave(stream, proxy, &why),
             Word::Ack { stream, proxy, nonce } => {
-                let member = self.members.get(&proxy).filter(|member| member.stream == stream);
-                let confirmed = member.and_then(|member| member.door.confirm(nonce));
-                self.confirm(proxy, confirmed);
+                self.settle(proxy, stream, nonce, false);
             }
             Word::Refusal { stream, proxy, nonce, reason } => {
-                let member = self.members.get(&proxy).filter(|member| member.stream == stream);
-                let refused = member.and_then(|member| member.door.refuse(nonce));
-                if refused.is_some() {
+                if self.settle(proxy, stream, nonce, true) {
                     self.figures.refused += 1;
                     tracing::error!(proxy = proxy.0, version = nonce, reason, "a version is refused");
                 }
-                // It has left the channel, which is all that the decisions go by.
-                self.confirm(proxy, refused);
             }
             Word::Stop => {}
         }
     }
 
-    fn confirm(&mut self, proxy: ProxyId, confirmed: Option<Option<MarkId>>) {
-        if let Some(Some(mark)) = confirmed {
-            self.round.confirmed.push(Confirmed { proxy, mark });
+    /// A proxy's word on a delta; whether it is about one that was in flight. What was refused has left the
+    /// channel as well, which is all that the decisions go by.
+    fn settle(&mut self, proxy: ProxyId, stream: StreamId, nonce: u64, refused: bool) -> bool {
+        let Some(member) = self.members.get(&proxy).filter(|member| member.stream == stream) else {
+            return false;
+        };
+        let Some(mark) = member.door.settle(nonce, refused) else { return false };
+        if member.door.is_idle() {
+            self.in_step(proxy);
+        }
+        self.round.confirmed.extend(mark.map(|mark| Confirmed { proxy, mark }));
+        true
+    }
+
+    /// One proxy less owes a word; with the last one a change has reached all.
+    fn in_step(&mut self, proxy: ProxyId) {
+        if self.owing.remove(&proxy) && self.owing.is_empty() {
+            let spread = now() - self.ordered_at;
+            self.figures.spread_last = spread;
+            let _ = self.spread.record((spread * 1e6) as u64);
         }
     }
 
@@ -258,6 +280,7 @@
             return;
         }
         let member = self.members.remove(&proxy).expect("found above");
+        self.in_step(proxy);
         self.figures.folded += member.door.folded();
         if member.joined {
             tracing::info!(proxy = proxy.0, why, "a proxy leaves");
@@ -301,15 +324,25 @@
     fn welcome(&mut self, proxy: ProxyId, change: Change) {
         let version = self.tables.version;
         let publication = Publication::new(change, self.incarnation, version, now(), None);
+        let ordered_at = publication.ordered_at;
         let member = self.members.get_mut(&proxy).expect("it joins now");
         member.joined = true;
         member.door.push(Arc::new(publication));
+        self.owes(proxy, ordered_at);
+        let member = &self.members[&proxy];
         // A stream to an earlier process counts too: the proxy still holds what that one ordered.
         let first = member.subscribe.version == 0 && self.met.insert(proxy);
         self.met.insert(proxy);
         self.round.streams.push(StreamChange { proxy, up: true, first });
     }
 
+    fn owes(&mut self, proxy: ProxyId, ordered_at: Seconds) {
+        if self.owing.is_empty() {
+            self.ordered_at = ordered_at;
+        }
+        self.owing.insert(proxy);
+    }
+
     /// Takes in the timers that are due, and with them the sums.
     fn ring(&mut self) {
         let now = now();
@@ -375,6 +408,7 @@
             if let Some(member) = self.members.get_mut(&proxy).filter(|member| member.joined) {
                 member.table = Some(table);
                 member.door.push(Arc::new(Publication::new(change, self.incarnation, version, at, None)));
+                self.owes(proxy, at);
             }
         }
     }
@@ -385,10 +419,14 @@
         let bare = (self.installation.terms.slices == 0).then(|| change.without_lines());
         let whole = Arc::new(Publication::new(change, self.incarnation, version, at, mark));
         let bare = bare.map(|change| Arc::new(Publication::new(change, self.incarnation, version, at, mark)));
-        for member in self.members.values().filter(|member| member.joined) {
+        if self.owing.is_empty() {
+            self.ordered_at = at;
+        }
+        for (proxy, member) in self.members.iter().filter(|(_, member)| member.joined) {
             let own = bare.as_ref().filter(|_| member.table.is_none()).unwrap_or(&whole);
             if mark.is_some() || !own.change.is_empty() {
                 member.door.push(own.clone());
+                self.owing.insert(*proxy);
             }
         }
         if let Some(store) = &self.store {
@@ -431,8 +469,9 @@
 
     fn show(&mut self, joined: usize) {
         let figures = &mut self.figures;
-        let late = |share: f64| self.lateness.value_at_quantile(share) as f64 / 1e6;
-        (figures.late_half, figures.late_99) = (late(0.5), late(0.99));
+        let at = |times: &Histogram<u64>, share: f64| times.value_at_quantile(share) as f64 / 1e6;
+        (figures.late_half, figures.late_99) = (at(&self.lateness, 0.5), at(&self.lateness, 0.99));
+        (figures.spread_half, figures.spread_99) = (at(&self.spread, 0.5), at(&self.spread, 0.99));
         figures.late_most = self.lateness.max() as f64 / 1e6;
         (figures.joined, figures.versions) = (joined, self.tables.version);
         figures.sums_dropped = self.inbox.sums_dropped.load(Ordering::Relaxed) + self.intake.dropped;
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -1,6 +1,7 @@
 //! Starts a steward's parts in their order, and stops them.
 use crate::inbox::{Inbox, Word};
 use crate::installation::Installation;
+use crate::outbox::MessageCap;
 use crate::owner::{Figures, Owner};
 use crate::probes::Probes;
 use crate::roster;
@@ -36,6 +37,7 @@
             first_within: installation.first_within,
             silent_after: installation.silent_after,
             streams_most: installation.streams_most,
+            cap: MessageCap { most: installation.terms.message_cap, span: installation.terms.messages_span },
         };
         let doors = Arc::new(Doors::default());
         let taking = inbox.clone();
--- a/crates/railhub-steward/src/streams.rs
+++ b/crates/railhub-steward/src/streams.rs
@@ -2,7 +2,7 @@
 use crate::claims::Allowance;
 use crate::inbox::{Inbox, Report, StreamId, Word};
 use crate::intake;
-use crate::outbox::{Outbox, Publication};
+use crate::outbox::{MessageCap, Next, Outbox, Publication};
 use may::net::TcpStream;
 use may::sync::{Mutex, Semphore};
 use railhub::{MarkId, ProxyId, Seconds, ZoneId};
@@ -18,6 +18,7 @@
     pub first_within: Seconds,
     pub silent_after: Seconds,
     pub streams_most: usize,
+    pub cap: MessageCap,
 }
 
 /// Between the owner and a stream's writer.
@@ -26,15 +27,15 @@
     wake: Semphore,
 }
 
-#[derive(Default)]
 struct Inner {
     outbox: Outbox,
     goodbye: Option<String>,
 }
 
 impl Door {
-    fn new() -> Door {
-        Door { inner: Mutex::new(Inner::default()), wake: Semphore::new(0) }
+    fn new(cap: MessageCap) -> Door {
+        let inner = Inner { outbox: Outbox::new(cap), goodbye: None };
+        Door { inner: Mutex::new(inner), wake: Semphore::new(0) }
     }
 
     fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
@@ -46,16 +47,19 @@
         self.wake.post();
     }
 
-    pub fn confirm(&self, nonce: u64) -> Option<Option<MarkId>> {
-        let confirmed = self.with(|inner| inner.outbox.confirm(nonce));
+    /// The proxy's word on a delta: the latest mark that it settles, if it settles anything.
+    pub fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>> {
+        let settled = self.with(|inner| match refused {
+            true => inner.outbox.refuse(nonce),
+            false => inner.outbox.confirm(nonce),
+        });
         self.wake.post();
-        confirmed
+        settled
     }
 
-    pub fn refuse(&self, nonce: u64) -> Option<Option<MarkId>> {
-        let refused = self.with(|inner| inner.outbox.refuse(nonce));
-        self.wake.post();
-        refused
+    /// The proxy has a word on all that it was sent, and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.with(|inner| inner.outbox.is_idle())
     }
 
     pub fn lines(&self, message_cost: f64) -> f64 {
@@ -120,7 +124,7 @@
         }
     };
     let (proxy, zone) = (ProxyId(subscribe.proxy as u16), ZoneId(subscribe.zone as u16));
-    let door = Arc::new(Door::new());
+    let door = Arc::new(Door::new(terms.cap));
     let (_ending, behind) = (Ending(door.clone()), door.clone());
     go(move || write(writer, &behind));
     inbox.tell(Word::Joins { stream: id, subscribe, door: door.clone() });
@@ -192,20 +196,18 @@
 /// Writes what the outbox gives until the stream ends. It holds no lock while it writes.
 fn write(mut writer: FrameWriter, door: &Door) {
     loop {
-        door.wake.wait();
-        loop {
-            let (goodbye, next) = door.with(|inner| match inner.goodbye.clone() {
-                Some(reason) => (Some(reason), None),
-                None => (None, inner.outbox.take(now())),
-            });
-            if let Some(reason) = goodbye {
-                say_goodbye(&mut writer, &reason);
-                return;
-            }
-            let Some(publication) = next else { break };
-            if writer.send_bytes(&publication.bytes).is_err() {
-                writer.close();
-                return;
+        let next = door.with(|inner| match inner.goodbye.clone() {
+            Some(reason) => Err(reason),
+            None => Ok(inner.outbox.take(now())),
+        });
+        match next {
+            Err(reason) => return say_goodbye(&mut writer, &reason),
+            Ok(Next::Nothing) => door.wake.wait(),
+            Ok(Next::WaitUntil(until)) => _ = door.wake.wait_timeout(seconds(until - now())),
+            Ok(Next::Write(publication)) => {
+                if writer.send_bytes(&publication.bytes).is_err() {
+                    return writer.close();
+                }
             }
         }
     }
