--- a/crates/railhub-rules/src/leaving.rs
+++ b/crates/railhub-rules/src/leaving.rs
@@ -25,7 +25,10 @@
                         Listed::Gone => !limits.only_draining_binds || bound.contains_key(host),
                     };
                     if binds {
-                        bound.entry(host.clone()).or_insert(word.since);
+                        bound.entry(host.clone()).or_insert_with(|| {
+                            verdict.look(at, 0.0, String::new);
+                            word.since
+                        });
                     } else {
                         bound.remove(host);
                     }
--- a/crates/railhub-steward/src/tables.rs
+++ b/crates/railhub-steward/src/tables.rs
@@ -29,6 +29,14 @@
         self.cleared.len() + self.lines.len() + self.levels.len() + self.shut.len()
     }
 
+    /// Something in it must not wait: a host is to be left, or a proxy is to get its first tables.
+    pub fn is_urgent(&self) -> bool {
+        self.reset
+            || self.handed.is_some()
+            || self.lines.values().any(|weight| *weight <= 0.0)
+            || self.shut.values().any(|out| *out)
+    }
+
     /// This change and then a later one, as one.
     pub fn fold(&mut self, later: &Change) {
         if later.reset {
