--- a/crates/railhub-steward/src/outbox.rs
+++ b/crates/railhub-steward/src/outbox.rs
@@ -17,7 +17,7 @@
 /// A change with its version, encoded once for all proxies that get it as it is.
 #[derive(Debug)]
 pub struct Publication {
-    pub change: Change,
+    pub change: Arc<Change>,
     pub incarnation: u64,
     pub version: u64,
     pub ordered_at: Seconds,
@@ -27,12 +27,13 @@
 
 impl Publication {
     pub fn new(
-        change: Change,
+        change: impl Into<Arc<Change>>,
         incarnation: u64,
         version: u64,
         ordered_at: Seconds,
         mark: Option<MarkId>,
     ) -> Publication {
+        let change = change.into();
         let delta = change.to_delta(incarnation, version, ordered_at);
         let bytes = frame(&FromSteward { word: Some(from_steward::Word::Delta(delta)) });
         Publication { change, incarnation, version, ordered_at, mark, bytes }
@@ -40,7 +41,7 @@
 
     /// This and then a later one, as one that was ordered when the older one was.
     fn then(&self, later: &Publication) -> Publication {
-        let mut change = self.change.clone();
+        let mut change = Change::clone(&self.change);
         change.fold(&later.change);
         let (version, mark) = (later.version, later.mark.or(self.mark));
         Publication::new(change, later.incarnation, version, self.ordered_at, mark)
@@ -160,6 +161,11 @@
         travelling.chain(&self.waiting).map(|p| p.change.cost() as f64 + message_cost).sum()
     }
 
+    /// Something waits that may leave once a word has come.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting.is_some()
+    }
+
     pub fn is_idle(&self) -> bool {
         self.waiting.is_none() && self.in_flight.is_empty()
     }
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -25,6 +25,9 @@
 const LONGEST_SLEEP: Seconds = 0.01;
 /// Seconds between looks for proxies that owe a word for too long.
 const STUCK_LOOK: Seconds = 0.5;
+/// Seconds for words on deltas to gather before the owner looks again: they come by the hundred at once, and
+/// nothing hangs on one of them.
+const GATHER: Seconds = 0.0001;
 /// Words taken in for one round: a round must end.
 const WORDS_A_ROUND: usize = 4096;
 
@@ -118,6 +121,8 @@
     flushed_at: Seconds,
     timers: Vec<(Seconds, TimerId)>,
     round: Round,
+    /// The last look brought nothing but words on deltas.
+    only_acks: bool,
     listed: bool,
     charged: bool,
     looked_at: Seconds,
@@ -154,6 +159,7 @@
             flushed_at: now,
             timers: Vec::new(),
             round: Round::default(),
+            only_acks: false,
             listed: false,
             looked_at: now,
             owing: BTreeSet::new(),
@@ -171,13 +177,18 @@
         self.inbox.own();
         loop {
             self.sleep();
+            let (mut acks, mut others) = (0, 0);
             for _ in 0..WORDS_A_ROUND {
                 match self.inbox.next_word() {
                     Some(Word::Stop) => return,
-                    Some(word) => self.hear(word),
+                    Some(word) => {
+                        *(if matches!(word, Word::Ack { .. }) { &mut acks } else { &mut others }) += 1;
+                        self.hear(word);
+                    }
                     None => break,
                 }
             }
+            self.only_acks = acks > 0 && others == 0;
             // Before list and tables are known there is nothing to decide and nothing to give to a proxy.
             if self.listed && self.charged {
                 self.let_in();
@@ -191,7 +202,9 @@
     fn sleep(&self) {
         let now = now();
         let due = self.timers.iter().map(|timer| timer.0).fold(now + LONGEST_SLEEP, f64::min);
-        if self.inbox.is_quiet() && due > now {
+        if !self.owing.is_empty() && self.only_acks && due > now {
+            std::thread::sleep(seconds(GATHER.min(due - now)));
+        } else if self.inbox.is_quiet() && due > now {
             std::thread::park_timeout(seconds(due - now));
         }
     }
@@ -397,11 +410,12 @@
         let at = now();
         self.timers.extend(draft.wakes.iter().map(|(after, timer)| (at + after, *timer)));
         draft.probes.iter().for_each(|host| self.probes.ask(*host));
-        draft.notes.iter().for_each(|note| tracing::info!(cause = note, "decision"));
-        self.tell_of(&draft.change);
         if !draft.change.is_empty() || draft.mark.is_some() {
-            self.publish(draft.change, draft.mark, at);
+            let change = Arc::new(draft.change);
+            self.publish(&change, draft.mark, at);
+            self.tell_of(&change);
         }
+        draft.notes.iter().for_each(|note| tracing::info!(cause = note, "decision"));
         for (table, proxy) in draft.handed {
             let change = self.tables.handing(table);
             let version = self.tables.version;
@@ -413,11 +427,10 @@
         }
     }
 
-    fn publish(&mut self, change: Change, mark: Option<MarkId>, at: Seconds) {
-        let touched: BTreeSet<SliceId> = change.lines.keys().map(|key| key.0).collect();
+    fn publish(&mut self, change: &Arc<Change>, mark: Option<MarkId>, at: Seconds) {
         let version = self.tables.apply(change.clone());
         let bare = (self.installation.terms.slices == 0).then(|| change.without_lines());
-        let whole = Arc::new(Publication::new(change, self.incarnation, version, at, mark));
+        let whole = Arc::new(Publication::new(change.clone(), self.incarnation, version, at, mark));
         let bare = bare.map(|change| Arc::new(Publication::new(change, self.incarnation, version, at, mark)));
         if self.owing.is_empty() {
             self.ordered_at = at;
@@ -430,6 +443,7 @@
             }
         }
         if let Some(store) = &self.store {
+            let touched: BTreeSet<SliceId> = whole.change.lines.keys().map(|key| key.0).collect();
             touched.into_iter().for_each(|slice| store.put(slice, self.tables.lines_of(slice)));
         }
         tracing::debug!(version, lines = whole.change.cost(), "a delta leaves");
--- a/crates/railhub-steward/src/streams.rs
+++ b/crates/railhub-steward/src/streams.rs
@@ -49,11 +49,16 @@
 
     /// The proxy's word on a delta: the latest mark that it settles, if it settles anything.
     pub fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>> {
-        let settled = self.with(|inner| match refused {
-            true => inner.outbox.refuse(nonce),
-            false => inner.outbox.confirm(nonce),
+        let (settled, has_waiting) = self.with(|inner| {
+            let settled = match refused {
+                true => inner.outbox.refuse(nonce),
+                false => inner.outbox.confirm(nonce),
+            };
+            (settled, inner.outbox.has_waiting())
         });
-        self.wake.post();
+        if has_waiting {
+            self.wake.post();
+        }
         settled
     }
 
--- a/crates/railhub-steward/src/tables.rs
+++ b/crates/railhub-steward/src/tables.rs
@@ -3,6 +3,7 @@
 use railhub::{ClassId, HostId, SecondTry, Seconds, SliceId};
 use railhub_proto::{Again, Delta, Level, Shut, TableLine};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Changes kept for proxies that come back, and lines in all of them: past either a proxy gets the whole.
 const KEPT_CHANGES: usize = 256;
@@ -111,7 +112,7 @@
     levels: BTreeMap<ClassId, (f64, SecondTry)>,
     shut: BTreeMap<HostId, bool>,
     /// The latest changes, the oldest first; the last one made the present version.
-    log: VecDeque<Change>,
+    log: VecDeque<Arc<Change>>,
     logged: usize,
 }
 
@@ -122,7 +123,7 @@
     }
 
     /// Makes the next version.
-    pub fn apply(&mut self, change: Change) -> u64 {
+    pub fn apply(&mut self, change: Arc<Change>) -> u64 {
         for slice in &change.cleared {
             self.lines.entry(*slice).or_default().clear();
         }
@@ -233,7 +234,7 @@
             let mut away_at = 0;
             for (place, (words, clears)) in steps.iter().enumerate() {
                 let change = change(words, clears);
-                tables.apply(change.clone());
+                tables.apply(Arc::new(change.clone()));
                 follow(&mut by_one, &change);
                 if place <= left_at {
                     follow(&mut away, &change);
@@ -272,7 +273,7 @@
     fn a_version_that_is_too_old_or_not_ours_is_not_known() {
         let mut tables = Tables::default();
         for n in 0..KEPT_CHANGES as u16 + 5 {
-            tables.apply(change(&[(1, n % 4, 1)], &[]));
+            tables.apply(Arc::new(change(&[(1, n % 4, 1)], &[])));
         }
         assert!(tables.since(4).is_none());
         assert!(tables.since(tables.version + 1).is_none());
