--- a/crates/railhub-net/src/task.rs
+++ b/crates/railhub-net/src/task.rs
@@ -9,7 +9,9 @@
 
 /// Sets up the coroutine runtime; once a process, before the first coroutine.
 pub fn start() {
-    let workers = std::thread::available_parallelism().map_or(2, |n| n.get()).clamp(2, 8);
+    // One core is left for the thread that owns a steward's state: coroutines must not crowd it out.
+    let cores = std::thread::available_parallelism().map_or(2, |n| n.get());
+    let workers = (cores - 1).clamp(1, 8);
     may::config().set_workers(workers).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
 }
 
--- a/crates/railhub-steward/benches/streams.rs
+++ b/crates/railhub-steward/benches/streams.rs
@@ -30,9 +30,6 @@
     let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
     println!("loopback, {cores} cores, both ends on one machine");
     fan_out();
-    if std::env::var("DBG").is_ok() {
-        return;
-    }
     memory();
     lateness();
 }
@@ -262,15 +259,6 @@
             if bare {
                 let ours = figures["spread_last"].as_f64().expect("a figure");
                 let theirs = plain.spread(peers.bytes.load(Ordering::Relaxed) - 4);
-                if std::env::var("DBG").is_ok() {
-                    println!(
-                        "  {lines} lines {} bytes ours {:.2} ms theirs {:.2} ms client-side {:.2}",
-                        peers.bytes.load(Ordering::Relaxed),
-                        ours * 1e3,
-                        theirs * 1e3,
-                        times.last().unwrap() * 1e3
-                    );
-                }
                 ratios.push(ours / theirs);
             }
         }
