The steward's kernel apart from its sockets, threads and clock

Need: the model of a fleet must run the steward's own parts, not a copy of them. Change: decisions, tables, joins and what is owed live in a kernel that gets time, gates and surroundings passed in; the owner's thread drives it. A test whose peers stopped reading, and were rightly cut off, goes on reading.

--- /dev/null
+++ b/crates/railhub-steward/src/kernel.rs
@@ -0,0 +1,433 @@
+//! All that a steward is, but for its sockets, its threads and its clock: the decisions, the tables, who is
+//! joined, what each proxy owes. The running steward and the model of a fleet drive the same kernel; each passes
+//! in the time, a [`Gate`] for each proxy and the [`Surroundings`].
+use crate::claims::{claim, Claim};
+use crate::draft::Draft;
+use crate::inbox::StreamId;
+use crate::installation::Installation;
+use crate::intake::Intake;
+use crate::outbox::Publication;
+use crate::pace::may_join;
+use crate::tables::{Change, Tables};
+use hdrhistogram::Histogram;
+use railhub::{
+    Charge, Confirmed, HostId, HostList, MarkId, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward,
+    StreamChange, TimerId, ZoneId,
+};
+use railhub_proto::{Subscribe, Sums};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Seconds between looks for proxies that owe a word for too long.
+const STUCK_LOOK: Seconds = 0.5;
+
+/// Where a proxy's deltas go: its outbox, and what empties it.
+pub trait Gate {
+    fn push(&self, publication: Arc<Publication>);
+    /// The proxy's word on a delta: the latest mark that it settles, if it settles anything.
+    fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>>;
+    fn is_idle(&self) -> bool;
+    fn lines(&self, message_cost: f64) -> f64;
+    fn owing_since(&self) -> Option<Seconds>;
+    fn folded(&self) -> u64;
+    fn close(&self, reason: &str);
+}
+
+/// What the kernel asks of the world besides its proxies, and tells it.
+pub trait Surroundings {
+    fn probe(&mut self, host: HostId);
+    fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>);
+    /// A decision with its cause.
+    fn decided(&mut self, cause: &str);
+    fn published(&mut self, change: &Change, version: u64);
+    /// Something about a proxy that operators want to know.
+    fn proxy(&mut self, proxy: ProxyId, what: &str, why: &str);
+}
+
+/// What the kernel has done so far; times are seconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    pub rounds: u64,
+    pub turns: u64,
+    pub versions: u64,
+    pub joined: usize,
+    pub refused: u64,
+    pub cut_off: u64,
+    pub folded: u64,
+    pub sums_dropped: u64,
+    pub probes_dropped: u64,
+    /// How late turns were: half of them, 99 of 100, the latest.
+    pub late_half: Seconds,
+    pub late_99: Seconds,
+    pub late_most: Seconds,
+    pub longest_round: Seconds,
+    /// From the decision to the last proxy's word: half of the changes, 99 of 100, the latest one.
+    pub spread_half: Seconds,
+    pub spread_99: Seconds,
+    pub spread_last: Seconds,
+}
+
+/// A proxy with a stream.
+struct Member<G> {
+    stream: StreamId,
+    process: u64,
+    subscribe: Subscribe,
+    gate: G,
+    /// It has been given its snapshot, and the decisions know of it.
+    joined: bool,
+    table: Option<SliceId>,
+}
+
+pub struct Kernel<G> {
+    installation: Installation,
+    brain: Steward,
+    tables: Tables,
+    /// This process; a version is of one of them.
+    incarnation: u64,
+    members: BTreeMap<ProxyId, Member<G>>,
+    /// Proxies that wait for their snapshot, in the order they came.
+    joining: VecDeque<(ProxyId, StreamId)>,
+    /// Proxies that had a stream to this process before.
+    met: BTreeSet<ProxyId>,
+    intake: Intake,
+    flushed_at: Seconds,
+    timers: Vec<(Seconds, TimerId)>,
+    round: Round,
+    listed: bool,
+    charged: bool,
+    looked_at: Seconds,
+    /// Proxies that owe a word on something, and when the oldest of it was ordered.
+    owing: BTreeSet<ProxyId>,
+    ordered_at: Seconds,
+    lateness: Histogram<u64>,
+    spread: Histogram<u64>,
+    figures: Figures,
+}
+
+impl<G: Gate> Kernel<G> {
+    /// `incarnation`: tells this process from every other one.
+    pub fn new(installation: Installation, incarnation: u64, now: Seconds) -> Kernel<G> {
+        let times = || Histogram::new(3).expect("three digits are allowed");
+        Kernel {
+            brain: Steward::new(installation.terms.clone()),
+            charged: installation.terms.slices == 0,
+            tables: Tables::default(),
+            incarnation,
+            members: BTreeMap::new(),
+            joining: VecDeque::new(),
+            met: BTreeSet::new(),
+            intake: Intake::default(),
+            flushed_at: now,
+            timers: Vec::new(),
+            round: Round::default(),
+            listed: false,
+            looked_at: now,
+            owing: BTreeSet::new(),
+            ordered_at: now,
+            lateness: times(),
+            spread: times(),
+            figures: Figures::default(),
+            installation,
+        }
+    }
+
+    pub fn hear_list(&mut self, list: HostList) {
+        self.listed = true;
+        self.round.lists.push(list);
+    }
+
+    pub fn hear_charges(&mut self, charges: Vec<Charge>) {
+        self.charged = true;
+        charges.iter().for_each(|charge| self.tables.take_stored(charge.slice, &charge.lines));
+        self.round.charges.extend(charges);
+    }
+
+    pub fn hear_probe(&mut self, result: ProbeResult) {
+        self.round.probes.push(result);
+    }
+
+    /// Before list and tables are known there is nothing to decide and nothing to give to a proxy.
+    pub fn is_ready(&self) -> bool {
+        self.listed && self.charged
+    }
+
+    /// Some proxy owes a word on a change.
+    pub fn is_owed(&self) -> bool {
+        !self.owing.is_empty()
+    }
+
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<Seconds> {
+        self.timers.iter().map(|timer| timer.0).min_by(Seconds::total_cmp)
+    }
+
+    /// A proxy's word on a delta; whether it is about one that was in flight. What was refused has left the
+    /// channel as well, which is all that the decisions go by.
+    pub fn settle(
+        &mut self,
+        now: Seconds,
+        proxy: ProxyId,
+        stream: StreamId,
+        nonce: u64,
+        refused: bool,
+    ) -> bool {
+        let Some(member) = self.members.get(&proxy).filter(|member| member.stream == stream) else {
+            return false;
+        };
+        let Some(mark) = member.gate.settle(nonce, refused) else { return false };
+        if member.gate.is_idle() {
+            self.in_step(now, proxy);
+        }
+        self.figures.refused += u64::from(refused);
+        self.round.confirmed.extend(mark.map(|mark| Confirmed { proxy, mark }));
+        true
+    }
+
+    /// One proxy less owes a word; with the last one a change has reached all.
+    fn in_step(&mut self, now: Seconds, proxy: ProxyId) {
+        if self.owing.remove(&proxy) && self.owing.is_empty() {
+            let spread = now - self.ordered_at;
+            self.figures.spread_last = spread;
+            let _ = self.spread.record((spread * 1e6) as u64);
+        }
+    }
+
+    fn owes(&mut self, proxy: ProxyId, ordered_at: Seconds) {
+        if self.owing.is_empty() {
+            self.ordered_at = ordered_at;
+        }
+        self.owing.insert(proxy);
+    }
+
+    pub fn join(
+        &mut self,
+        now: Seconds,
+        stream: StreamId,
+        subscribe: Subscribe,
+        gate: G,
+        around: &mut impl Surroundings,
+    ) {
+        let proxy = ProxyId(subscribe.proxy as u16);
+        let holder = self.members.get(&proxy);
+        match claim(holder.map(|member| member.process), subscribe.process) {
+            Claim::Taken => {
+                around.proxy(proxy, "a second process claims to be this proxy: turned away", "");
+                gate.close("another process speaks for this proxy");
+                return;
+            }
+            Claim::Replaces => {
+                if let Some(holder) = holder {
+                    holder.gate.close("a newer stream of this proxy is open");
+                    let old = holder.stream;
+                    self.leave(now, old, proxy, "replaced by a newer stream", around);
+                }
+            }
+            Claim::Free => {}
+        }
+        let process = subscribe.process;
+        let member = Member { stream, process, subscribe, gate, joined: false, table: None };
+        self.members.insert(proxy, member);
+        self.joining.push_back((proxy, stream));
+    }
+
+    pub fn leave(
+        &mut self,
+        now: Seconds,
+        stream: StreamId,
+        proxy: ProxyId,
+        why: &str,
+        around: &mut impl Surroundings,
+    ) {
+        if self.members.get(&proxy).is_none_or(|member| member.stream != stream) {
+            return;
+        }
+        let member = self.members.remove(&proxy).expect("found above");
+        self.in_step(now, proxy);
+        self.figures.folded += member.gate.folded();
+        if member.joined {
+            around.proxy(proxy, "a proxy leaves", why);
+            self.round.streams.push(StreamChange { proxy, up: false, first: false });
+        }
+    }
+
+    fn lines_waiting(&self) -> f64 {
+        let cost = self.installation.terms.message_cost;
+        self.members.values().map(|member| member.gate.lines(cost)).sum()
+    }
+
+    /// Gives proxies that came what they lack, as room allows.
+    pub fn let_in(&mut self, now: Seconds) {
+        if self.joining.is_empty() {
+            return;
+        }
+        let terms = &self.installation.terms;
+        let (backlog, message_cost, no_slices) = (terms.backlog, terms.message_cost, terms.slices == 0);
+        let mut waiting = self.lines_waiting();
+        while let Some((proxy, stream)) = self.joining.front().copied() {
+            let member = self.members.get(&proxy).filter(|member| member.stream == stream);
+            let Some(subscribe) = member.map(|member| &member.subscribe) else {
+                self.joining.pop_front();
+                continue;
+            };
+            let ours = subscribe.incarnation == self.incarnation;
+            let lacking = ours.then(|| self.tables.since(subscribe.version)).flatten();
+            let change = lacking.unwrap_or_else(|| self.tables.whole());
+            let change = if no_slices { change.without_lines() } else { change };
+            let cost = change.cost() as f64 + message_cost;
+            if !may_join(waiting, cost, backlog) {
+                return;
+            }
+            waiting += cost;
+            self.joining.pop_front();
+            self.welcome(now, proxy, change);
+        }
+    }
+
+    fn welcome(&mut self, now: Seconds, proxy: ProxyId, change: Change) {
+        let publication = Publication::new(change, self.incarnation, self.tables.version, now, None);
+        let member = self.members.get_mut(&proxy).expect("it joins now");
+        member.joined = true;
+        member.gate.push(Arc::new(publication));
+        // A stream to an earlier process counts too: the proxy still holds what that one ordered.
+        let holds_nothing = member.subscribe.version == 0;
+        let first = self.met.insert(proxy) && holds_nothing;
+        self.owes(proxy, now);
+        self.round.streams.push(StreamChange { proxy, up: true, first });
+    }
+
+    /// Takes in the timers that are due; whether there were any, or this is the first time: then sums are due
+    /// as well.
+    pub fn ring(&mut self, now: Seconds) -> bool {
+        let due: Vec<(Seconds, TimerId)> = self.timers.iter().copied().filter(|t| t.0 <= now).collect();
+        if due.is_empty() && self.figures.rounds > 0 {
+            return false;
+        }
+        self.timers.retain(|timer| timer.0 > now);
+        for (at, timer) in due {
+            let _ = self.lateness.record(((now - at) * 1e6) as u64);
+            self.round.timers.push(timer);
+            self.figures.turns += 1;
+        }
+        true
+    }
+
+    /// Adds a report of a proxy that is joined by this stream.
+    pub fn take_sums(&mut self, stream: StreamId, proxy: ProxyId, zone: ZoneId, sums: &Sums) {
+        if self.members.get(&proxy).is_some_and(|m| m.stream == stream && m.joined) {
+            self.intake.add(zone, sums, self.joined());
+        }
+    }
+
+    /// Hands on what the rate lets in.
+    pub fn flush_sums(&mut self, now: Seconds) {
+        let (tries, demand) = self.intake.flush(now - self.flushed_at, self.installation.reports_a_second);
+        self.flushed_at = now;
+        self.round.tries.extend(tries);
+        self.round.demand.extend(demand);
+    }
+
+    pub fn joined(&self) -> usize {
+        self.members.values().filter(|member| member.joined).count()
+    }
+
+    /// Runs a round if anything came, and carries out what it decided. `clock`: the time it is then.
+    pub fn act(&mut self, now: Seconds, clock: impl Fn() -> Seconds, around: &mut impl Surroundings) {
+        let round = &self.round;
+        let has_news = !round.lists.is_empty()
+            || !round.charges.is_empty()
+            || !round.streams.is_empty()
+            || !round.probes.is_empty()
+            || !round.confirmed.is_empty()
+            || !round.timers.is_empty();
+        if !has_news {
+            return;
+        }
+        let mut round = std::mem::take(&mut self.round);
+        round.now = now;
+        let mut draft = Draft::default();
+        self.brain.round(&round, &mut draft);
+        let at = clock();
+        self.figures.rounds += 1;
+        self.figures.longest_round = self.figures.longest_round.max(at - now);
+        self.carry_out(draft, at, around);
+    }
+
+    fn carry_out(&mut self, draft: Draft, at: Seconds, around: &mut impl Surroundings) {
+        self.timers.extend(draft.wakes.iter().map(|(after, timer)| (at + after, *timer)));
+        draft.probes.iter().for_each(|host| around.probe(*host));
+        if !draft.change.is_empty() || draft.mark.is_some() {
+            self.publish(&Arc::new(draft.change), draft.mark, at, around);
+        }
+        draft.notes.iter().for_each(|note| around.decided(note));
+        for (table, proxy) in draft.handed {
+            let change = self.tables.handing(table);
+            let version = self.tables.version;
+            if let Some(member) = self.members.get_mut(&proxy).filter(|member| member.joined) {
+                member.table = Some(table);
+                member.gate.push(Arc::new(Publication::new(change, self.incarnation, version, at, None)));
+                self.owes(proxy, at);
+            }
+        }
+    }
+
+    fn publish(
+        &mut self,
+        change: &Arc<Change>,
+        mark: Option<MarkId>,
+        at: Seconds,
+        around: &mut impl Surroundings,
+    ) {
+        let version = self.tables.apply(change.clone());
+        let bare = (self.installation.terms.slices == 0).then(|| change.without_lines());
+        let whole = Arc::new(Publication::new(change.clone(), self.incarnation, version, at, mark));
+        let bare = bare.map(|change| Arc::new(Publication::new(change, self.incarnation, version, at, mark)));
+        if self.owing.is_empty() {
+            self.ordered_at = at;
+        }
+        for (proxy, member) in self.members.iter().filter(|(_, member)| member.joined) {
+            let own = bare.as_ref().filter(|_| member.table.is_none()).unwrap_or(&whole);
+            if mark.is_some() || !own.change.is_empty() {
+                member.gate.push(own.clone());
+                self.owing.insert(*proxy);
+            }
+        }
+        let touched: BTreeSet<SliceId> = change.lines.keys().map(|key| key.0).collect();
+        touched.into_iter().for_each(|slice| around.store(slice, self.tables.lines_of(slice)));
+        around.published(change, version);
+    }
+
+    /// Cuts off proxies that owe a word for too long: what waits for them would count for ever.
+    pub fn look_for_stuck(&mut self, now: Seconds, around: &mut impl Surroundings) {
+        if now - self.looked_at < STUCK_LOOK {
+            return;
+        }
+        self.looked_at = now;
+        let limit = self.installation.stuck_after;
+        let stuck: Vec<(ProxyId, StreamId)> = (self.members.iter())
+            .filter(|(_, member)| member.gate.owing_since().is_some_and(|since| now - since > limit))
+            .map(|(proxy, member)| (*proxy, member.stream))
+            .collect();
+        for (proxy, stream) in stuck {
+            self.figures.cut_off += 1;
+            around.proxy(proxy, "a proxy does not confirm: its stream is ended", "");
+            self.members[&proxy].gate.close("no word on a version for too long");
+            self.leave(now, stream, proxy, "it does not confirm", around);
+        }
+    }
+
+    pub fn figures(&self) -> Figures {
+        let at = |times: &Histogram<u64>, share: f64| times.value_at_quantile(share) as f64 / 1e6;
+        Figures {
+            late_half: at(&self.lateness, 0.5),
+            late_99: at(&self.lateness, 0.99),
+            late_most: self.lateness.max() as f64 / 1e6,
+            spread_half: at(&self.spread, 0.5),
+            spread_99: at(&self.spread, 0.99),
+            joined: self.joined(),
+            versions: self.tables.version,
+            sums_dropped: self.intake.dropped,
+            ..self.figures.clone()
+        }
+    }
+}
--- a/crates/railhub-steward/src/lib.rs
+++ b/crates/railhub-steward/src/lib.rs
@@ -1,7 +1,7 @@
 //! The running steward: tells the decisions what happens and carries out what they decide.
 //!
-//! Who owns what: one thread ([`owner`]) owns the decisions' state, the tables and the proxies' membership,
-//! fed by bounded queues ([`inbox`]). Each proxy's stream has a reader and a writer coroutine ([`streams`]);
+//! Who owns what: a [`kernel`] holds the decisions' state, the tables and the proxies' membership, free of sockets and
+//! clocks; one thread ([`owner`]) owns it, fed by bounded queues ([`inbox`]). Each proxy's stream has a reader and a writer coroutine ([`streams`]);
 //! what waits for a proxy is owned by its [`outbox`]. Roster, store and probes are a coroutine or a few each.
 //!
 //! The way of one delta:
@@ -17,9 +17,11 @@
 //! The way of one failure: a stream that breaks, is silent, sends what is no message, or does not confirm for
 //! too long ends alone, with a reason sent and logged. The owner tells the decisions that the proxy left.
 pub mod claims;
+pub mod draft;
 pub mod inbox;
 pub mod installation;
 pub mod intake;
+pub mod kernel;
 pub mod outbox;
 mod owner;
 pub mod pace;
@@ -31,5 +33,5 @@
 pub mod tables;
 
 pub use installation::Installation;
-pub use owner::Figures;
+pub use kernel::Figures;
 pub use service::{Running, StartFault};
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -1,8 +1,9 @@
 //! Starts a steward's parts in their order, and stops them.
 use crate::inbox::{Inbox, Word};
 use crate::installation::Installation;
+use crate::kernel::Figures;
 use crate::outbox::MessageCap;
-use crate::owner::{Figures, Owner};
+use crate::owner::Owner;
 use crate::probes::Probes;
 use crate::roster;
 use crate::store::StoreWriter;
--- a/crates/railhub-steward/src/streams.rs
+++ b/crates/railhub-steward/src/streams.rs
@@ -2,6 +2,7 @@
 use crate::claims::Allowance;
 use crate::inbox::{Inbox, Report, StreamId, Word};
 use crate::intake;
+use crate::kernel::Gate;
 use crate::outbox::{MessageCap, Next, Outbox, Publication};
 use may::net::TcpStream;
 use may::sync::{Mutex, Semphore};
@@ -41,14 +42,16 @@
     fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
         act(&mut self.inner.lock().expect("no holder panics"))
     }
+}
 
-    pub fn push(&self, publication: Arc<Publication>) {
+impl Gate for Arc<Door> {
+    fn push(&self, publication: Arc<Publication>) {
         self.with(|inner| inner.outbox.push(publication));
         self.wake.post();
     }
 
     /// The proxy's word on a delta: the latest mark that it settles, if it settles anything.
-    pub fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>> {
+    fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>> {
         let (settled, has_waiting) = self.with(|inner| {
             let settled = match refused {
                 true => inner.outbox.refuse(nonce),
@@ -63,24 +66,24 @@
     }
 
     /// The proxy has a word on all that it was sent, and nothing waits.
-    pub fn is_idle(&self) -> bool {
+    fn is_idle(&self) -> bool {
         self.with(|inner| inner.outbox.is_idle())
     }
 
-    pub fn lines(&self, message_cost: f64) -> f64 {
+    fn lines(&self, message_cost: f64) -> f64 {
         self.with(|inner| inner.outbox.lines(message_cost))
     }
 
-    pub fn owing_since(&self) -> Option<Seconds> {
+    fn owing_since(&self) -> Option<Seconds> {
         self.with(|inner| inner.outbox.owing_since())
     }
 
-    pub fn folded(&self) -> u64 {
+    fn folded(&self) -> u64 {
         self.with(|inner| inner.outbox.folded)
     }
 
     /// Ends the stream, with a reason if the proxy still reads.
-    pub fn close(&self, reason: &str) {
+    fn close(&self, reason: &str) {
         self.with(|inner| _ = inner.goodbye.get_or_insert_with(|| reason.to_owned()));
         self.wake.post();
     }
--- a/crates/railhub-steward/tests/streams.rs
+++ b/crates/railhub-steward/tests/streams.rs
@@ -9,6 +9,8 @@
 use railhub_standin::roster::{DRAINING, READY};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const SHORT: Duration = Duration::from_millis(1500);
@@ -233,14 +235,20 @@
     let address = steward.address;
     // One that never reads is in front: the others wait for it no longer than until it is cut off.
     let _dead = Peer::dial(address, 99);
+    let seen = Arc::new(AtomicBool::new(false));
     let joining = (0..60).map(|n| {
+        let seen = seen.clone();
         std::thread::spawn(move || {
             let mut peer = Peer::dial(address, n);
             peer.obey_until(|held| held.tables().len() == 100);
-            peer
+            // It goes on reading: one that stops is cut off.
+            while !seen.load(Ordering::Relaxed) {
+                peer.obey_for(Duration::from_millis(50));
+            }
         })
     });
     let joining: Vec<_> = joining.collect();
-    let peers: Vec<Peer> = joining.into_iter().map(|thread| thread.join().expect("it joined")).collect();
-    eventually("all that read have joined", || steward.figures().joined >= peers.len());
+    eventually("all that read have joined", || steward.figures().joined >= joining.len());
+    seen.store(true, Ordering::Relaxed);
+    joining.into_iter().for_each(|thread| thread.join().expect("it joined"));
 }
