--- a/crates/railhub-cli/src/day.rs
+++ b/crates/railhub-cli/src/day.rs
@@ -112,7 +112,7 @@
         Some(record) => read(record)?,
         None => steered.events,
     };
-    finish(&day, &events, fixed, arguments.json)
+    finish(&day, "loopback", &events, fixed, arguments.json)
 }
 
 pub fn progress_bar(day: &Day) -> ProgressBar {
@@ -125,11 +125,18 @@
 }
 
 /// Prints what came of a day; a broken rule is an ending of its own.
-pub fn finish(day: &Day, events: &[Event], fixed: Option<Service>, json: bool) -> Result<(), Ending> {
+pub fn finish(
+    day: &Day,
+    how: &'static str,
+    events: &[Event],
+    fixed: Option<Service>,
+    json: bool,
+) -> Result<(), Ending> {
     let rules = judge(events).map_err(Ending::Input)?;
     let limits = limits(events).ok_or(Ending::Input("the record has no limits".into()))?;
     let report = Report {
         day: day.name.clone(),
+        how,
         seed: day.seed,
         service: service(events, limits),
         fixed,
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod day;
 mod launch;
 mod logs;
+mod model;
 mod standin;
 mod steward;
 
@@ -37,6 +38,8 @@
     Day(day::DayArguments),
     /// Plays a day's stand-ins against a steward that runs elsewhere on this machine.
     Standin(standin::StandinArguments),
+    /// Runs a day in the model of a fleet, in simulated time.
+    Model(model::ModelArguments),
     /// Judges the rules from a record alone.
     Check(day::CheckArguments),
 }
@@ -77,6 +80,7 @@
         Command::Conf(ConfArguments { what: ConfCommand::Check { file } }) => steward::check(&file),
         Command::Day(given) => day::run(&given, arguments.log),
         Command::Standin(given) => standin::run(&given),
+        Command::Model(given) => model::run(&given),
         Command::Check(given) => day::check(&given),
     };
     match ended {
--- a/crates/railhub-cli/src/standin.rs
+++ b/crates/railhub-cli/src/standin.rs
@@ -49,5 +49,5 @@
     let played = play(&day, Some(launch), None, None, &|at| bar.set_position(at.max(0.0) as u64));
     bar.finish_and_clear();
     let played = played.map_err(Ending::Input)?;
-    finish(&day, &played.events, None, arguments.json)
+    finish(&day, "loopback", &played.events, None, arguments.json)
 }
--- a/crates/railhub-day/src/report.rs
+++ b/crates/railhub-day/src/report.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Serialize)]
 pub struct Report {
     pub day: String,
+    /// loopback or simulated.
+    pub how: &'static str,
     pub seed: u64,
     pub service: Service,
     /// The same day with tables fixed at the start.
@@ -101,8 +103,11 @@
 pub fn words(report: &Report) -> String {
     let mut out = String::new();
     let service = &report.service;
-    let _ =
-        writeln!(out, "{} (seed {}), loopback, {} operations", report.day, report.seed, service.operations);
+    let _ = writeln!(
+        out,
+        "{} (seed {}), {}, {} operations",
+        report.day, report.seed, report.how, service.operations
+    );
     let _ = write!(out, "service {:.3}", service.whole);
     if let Some(fixed) = &report.fixed {
         let _ = write!(out, "   with tables fixed at the start {:.3}", fixed.whole);
--- a/crates/railhub-day/src/world.rs
+++ b/crates/railhub-day/src/world.rs
@@ -14,6 +14,7 @@
 use railhub_standin::store::Store;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -65,7 +66,8 @@
             let weight = facts.cores as f64;
             hosts.push(Placed { open, started: None, weight, is_ghost: false, leaves: false });
         }
-        let tables = first_tables(day, &facts, &hosts);
+        let addresses: Vec<_> = hosts.iter().map(|placed| placed.open.host.address).collect();
+        let tables = first_tables(day, &facts, &addresses);
         let roster = Roster::open(recorder.clone())?;
         roster.tell(hosts.iter().map(|placed| placed.entry(READY)).collect());
         let zones: BTreeMap<_, _> =
@@ -243,7 +245,7 @@
     /// Launches a steward and tells the proxies where it is. Waits for it: not in a coroutine.
     fn launch_steward(&self) -> Result<(), String> {
         let Some(launch) = &self.launch else { return Ok(()) };
-        let launched = launch(&steward_file(&self.day, &self.roster, &self.store))?;
+        let launched = launch(&steward_file(&self.day, self.roster.address, self.store.address))?;
         self.around.recorder.note(now(), What::StewardLife(StewardLife { up: true }));
         *self.around.steward.lock().expect("no holder panics") = Some(launched.address);
         *self.steward.lock().expect("no holder panics") = Some(launched);
@@ -300,7 +302,7 @@
     }
 }
 
-fn proxy_facts(day: &Day, n: usize) -> ProxyFacts {
+pub fn proxy_facts(day: &Day, n: usize) -> ProxyFacts {
     ProxyFacts {
         number: n as u32,
         zone: (n % day.zones.len()) as u32,
@@ -315,30 +317,26 @@
     }
 }
 
-fn first_tables(
-    day: &Day,
-    facts: &[HostFacts],
-    hosts: &[Placed],
-) -> BTreeMap<u32, Vec<(std::net::SocketAddr, f64)>> {
-    let address = |n: usize| hosts[n].open.host.address;
+/// The tables that the day begins with, by the hosts' addresses.
+pub fn first_tables(day: &Day, facts: &[HostFacts], addresses: &[SocketAddr]) -> Tables {
     if day.slices == 0 {
-        return BTreeMap::from([(
-            0,
-            (0..hosts.len()).map(|n| (address(n), facts[n].cores as f64)).collect(),
-        )]);
+        let lines = addresses.iter().zip(facts).map(|(address, facts)| (*address, facts.cores as f64));
+        return Tables::from([(0, lines.collect())]);
     }
     let owners = draw::first_owners(day, facts);
-    owners.iter().enumerate().map(|(slice, owner)| (slice as u32, vec![(address(*owner), 1.0)])).collect()
+    owners.iter().enumerate().map(|(slice, owner)| (slice as u32, vec![(addresses[*owner], 1.0)])).collect()
 }
 
+/// Lines by slice.
+pub type Tables = BTreeMap<u32, Vec<(SocketAddr, f64)>>;
+
 /// The settings of the steward of a day.
-pub fn steward_file(day: &Day, roster: &Roster, store: &Store) -> String {
+pub fn steward_file(day: &Day, roster: SocketAddr, store: SocketAddr) -> String {
     use std::fmt::Write;
     let limits = &day.limits;
-    let mut text =
-        format!("[steward]\nlisten = 127.0.0.1:0\nroster = {}\nslices = {}\n", roster.address, day.slices);
+    let mut text = format!("[steward]\nlisten = 127.0.0.1:0\nroster = {}\nslices = {}\n", roster, day.slices);
     if day.slices > 0 {
-        let _ = writeln!(text, "store = {}", store.address);
+        let _ = writeln!(text, "store = {store}");
     }
     let binds = if limits.only_draining_binds { "no" } else { "yes" };
     let _ = write!(
--- /dev/null
+++ b/crates/railhub-fleet/src/steward.rs
@@ -0,0 +1,413 @@
+//! The steward in the model: its own kernel, with gates that the model empties at the channel's pace.
+use crate::baseline::{self, Baseline};
+use crate::events::{Due, HostAt, ProxyAt};
+use crate::list::{to_list, to_record};
+use crate::world::{Policy, World};
+use railhub::{Charge, HostId, MarkId, ProbeEnd, ProbeResult, ProxyId, Seconds, SliceId, ZoneId};
+use railhub_proto::{Subscribe, Sums};
+use railhub_record::{Answered, Received, StewardLife, Stream, What};
+use railhub_steward::inbox::StreamId;
+use railhub_steward::kernel::{Gate, Kernel, Surroundings};
+use railhub_steward::outbox::{MessageCap, Next, Outbox, Publication};
+use railhub_steward::tables::{Change, Tables};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Seconds until the list's news reach a steward, as the stand-in is asked.
+const LIST_LOOK: f64 = 0.01;
+/// Seconds a steward takes to start.
+const START: f64 = 0.03;
+
+/// A proxy's outbox, shared with the kernel.
+#[derive(Clone)]
+pub struct ModelGate(Rc<RefCell<GateState>>);
+
+struct GateState {
+    outbox: Outbox,
+    closed: bool,
+}
+
+impl ModelGate {
+    fn new(cap: MessageCap) -> ModelGate {
+        ModelGate(Rc::new(RefCell::new(GateState { outbox: Outbox::new(cap), closed: false })))
+    }
+}
+
+impl Gate for ModelGate {
+    fn push(&self, publication: Arc<Publication>) {
+        self.0.borrow_mut().outbox.push(publication);
+    }
+    fn settle(&self, nonce: u64, refused: bool) -> Option<Option<MarkId>> {
+        let outbox = &mut self.0.borrow_mut().outbox;
+        if refused {
+            outbox.refuse(nonce)
+        } else {
+            outbox.confirm(nonce)
+        }
+    }
+    fn is_idle(&self) -> bool {
+        self.0.borrow().outbox.is_idle()
+    }
+    fn lines(&self, message_cost: f64) -> f64 {
+        self.0.borrow().outbox.lines(message_cost)
+    }
+    fn owing_since(&self) -> Option<Seconds> {
+        self.0.borrow().outbox.owing_since()
+    }
+    fn folded(&self) -> u64 {
+        self.0.borrow().outbox.folded
+    }
+    fn close(&self, _: &str) {
+        self.0.borrow_mut().closed = true;
+    }
+}
+
+/// What a round asked for.
+#[derive(Default)]
+struct Asked {
+    probes: Vec<HostId>,
+    stored: Vec<(SliceId, Vec<(HostId, f64)>)>,
+}
+
+impl Surroundings for Asked {
+    fn probe(&mut self, host: HostId) {
+        self.probes.push(host);
+    }
+    fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>) {
+        self.stored.push((slice, lines));
+    }
+    fn decided(&mut self, _: &str) {}
+    fn published(&mut self, _: &Change, _: u64) {}
+    fn proxy(&mut self, _: ProxyId, _: &str, _: &str) {}
+}
+
+/// Who steers: the kernel, or a plain policy that goes by the list.
+enum Mind {
+    Kernel(Box<Kernel<ModelGate>>),
+    Baseline(Baseline, Tables),
+}
+
+pub struct Steward {
+    mind: Mind,
+    incarnation: u64,
+    gates: Vec<Option<(StreamId, ModelGate)>>,
+    sums: Vec<(StreamId, ProxyAt, Box<Sums>)>,
+    wakes_at: f64,
+}
+
+impl World<'_> {
+    pub fn start_steward(&mut self) {
+        if self.policy == Policy::Fixed {
+            return;
+        }
+        self.incarnation += 1;
+        let now = self.agenda.now;
+        let mind = match self.policy {
+            Policy::Baseline(policy) => Mind::Baseline(policy, Tables::default()),
+            _ => Mind::Kernel(Box::new(Kernel::new(self.installation.clone(), self.incarnation, now))),
+        };
+        let (incarnation, gates) = (self.incarnation, vec![None; self.proxies.len()]);
+        self.steward = Some(Steward { mind, incarnation, gates, sums: Vec::new(), wakes_at: f64::INFINITY });
+        self.note(What::StewardLife(StewardLife { up: true }));
+        if self.day.slices > 0 && !self.store_away {
+            self.give_charges();
+        }
+        if let Some(lines) = self.list.whole() {
+            self.hear_list(true, &lines);
+        }
+        for proxy in std::mem::take(&mut self.waits_to_dial) {
+            self.agenda.after(self.physics.way, Due::Dials(proxy));
+        }
+    }
+
+    pub fn start_steward_soon(&mut self) {
+        self.agenda.after(START, Due::StewardStarts);
+    }
+
+    pub fn kill_steward(&mut self) {
+        let Some(steward) = self.steward.take() else { return };
+        self.note(What::StewardLife(StewardLife { up: false }));
+        for proxy in 0..steward.gates.len() {
+            if steward.gates[proxy].is_some() {
+                self.stream_ends(proxy);
+            }
+        }
+    }
+
+    fn give_charges(&mut self) {
+        let tables = self.tables.iter().map(|(slice, lines)| Charge {
+            slice: SliceId(*slice as u16),
+            given: true,
+            lines: lines.iter().map(|(host, weight)| (HostId(*host), *weight)).collect(),
+        });
+        let charges: Vec<Charge> = tables.collect();
+        match self.steward.as_mut().map(|steward| &mut steward.mind) {
+            Some(Mind::Kernel(kernel)) => kernel.hear_charges(charges),
+            Some(Mind::Baseline(_, tables)) => {
+                charges.iter().for_each(|charge| tables.take_stored(charge.slice, &charge.lines));
+            }
+            None => {}
+        }
+    }
+
+    /// The store answers again: what waited is written, and a steward that waits gets its slices.
+    pub fn store_is_back(&mut self) {
+        self.store_away = false;
+        for (slice, lines) in std::mem::take(&mut self.unstored) {
+            self.tables.insert(slice, lines);
+        }
+        let waits = |steward: &Steward| matches!(&steward.mind, Mind::Kernel(kernel) if !kernel.is_ready());
+        if self.steward.as_ref().is_some_and(waits) {
+            self.give_charges();
+            self.steward_acts();
+        }
+    }
+
+    /// The list has news, some time from now at the most.
+    pub fn list_changed(&mut self) {
+        self.agenda.after(LIST_LOOK, Due::ListTells);
+    }
+
+    pub fn list_tells(&mut self) {
+        if self.steward.is_none() {
+            return;
+        }
+        if let Some(news) = self.list.news() {
+            self.hear_list(false, &news);
+        }
+    }
+
+    fn hear_list(&mut self, whole: bool, lines: &[(std::net::SocketAddr, crate::list::Line)]) {
+        self.note(What::Roster(to_record(whole, lines)));
+        self.known.extend(lines.iter().copied());
+        let list = to_list(whole, lines);
+        match self.steward.as_mut().map(|steward| &mut steward.mind) {
+            Some(Mind::Kernel(kernel)) => kernel.hear_list(list),
+            Some(Mind::Baseline(policy, tables)) => {
+                let wanted = baseline::wanted(*policy, self.day.slices, &self.known);
+                let change = baseline::change(tables, &wanted);
+                if !change.is_empty() {
+                    let change = Arc::new(change);
+                    let version = tables.apply(change.clone());
+                    let (incarnation, now) = (self.incarnation, self.agenda.now);
+                    let publication = Arc::new(Publication::new(change, incarnation, version, now, None));
+                    let gates = self.steward.iter().flat_map(|steward| steward.gates.iter().flatten());
+                    gates.for_each(|(_, gate)| gate.push(publication.clone()));
+                }
+            }
+            None => {}
+        }
+        self.steward_acts();
+    }
+
+    /// Lets the kernel act on what it has heard, and carries out what it asks for.
+    pub fn steward_acts(&mut self) {
+        let now = self.agenda.now;
+        let Some(steward) = self.steward.as_mut() else { return };
+        let mut asked = Asked::default();
+        if let Mind::Kernel(kernel) = &mut steward.mind {
+            if !kernel.is_ready() {
+                return;
+            }
+            kernel.let_in(now);
+            if kernel.ring(now) {
+                for (stream, proxy, sums) in steward.sums.drain(..) {
+                    let zone = ZoneId(self.proxies[proxy].zone as u16);
+                    kernel.take_sums(stream, ProxyId(proxy as u16), zone, &sums);
+                }
+                kernel.flush_sums(now);
+            }
+            kernel.act(now, || now, &mut asked);
+            kernel.look_for_stuck(now, &mut asked);
+            if let Some(due) =
+                kernel.next_due().filter(|due| *due < steward.wakes_at || steward.wakes_at <= now)
+            {
+                steward.wakes_at = due;
+                self.agenda.at(due, Due::StewardWakes);
+            }
+        }
+        for host in asked.probes {
+            if let Some(place) = self.places.get(&host.0).copied() {
+                self.agenda.after(self.physics.way, Due::Probed(place));
+            }
+        }
+        for (slice, lines) in asked.stored {
+            let lines = lines.into_iter().map(|(host, weight)| (host.0, weight)).collect();
+            let to = if self.store_away { &mut self.unstored } else { &mut self.tables };
+            to.insert(u32::from(slice.0), lines);
+        }
+        for proxy in 0..self.proxies.len() {
+            self.mail(proxy);
+        }
+    }
+
+    /// Writes what may leave for a proxy, at the channel's pace.
+    pub fn mail(&mut self, proxy: ProxyAt) {
+        let now = self.agenda.now;
+        let gate = self.steward.as_ref().and_then(|steward| steward.gates[proxy].clone());
+        let Some((stream, gate)) = gate else { return };
+        if gate.0.borrow().closed {
+            return self.hang_up(proxy);
+        }
+        loop {
+            let next = gate.0.borrow_mut().outbox.take(now);
+            match next {
+                Next::Nothing => return,
+                Next::WaitUntil(until) => return self.agenda.at(until, Due::Mail(proxy)),
+                Next::Write(publication) => {
+                    let lines = publication.change.cost() as f64 + self.day.limits.message_cost;
+                    let took = lines * self.channel_slower / self.day.lines_a_second;
+                    self.channel_free = self.channel_free.max(now) + took;
+                    let arrives = self.channel_free + self.physics.way;
+                    self.agenda.at(arrives, Due::Delta(proxy, stream, publication));
+                }
+            }
+        }
+    }
+
+    /// The steward ends a stream.
+    fn hang_up(&mut self, proxy: ProxyAt) {
+        if let Some(steward) = self.steward.as_mut() {
+            steward.gates[proxy] = None;
+        }
+        self.stream_ends(proxy);
+    }
+
+    /// A proxy dials its steward, or waits until there is one.
+    pub fn dials(&mut self, proxy: ProxyAt) {
+        let now = self.agenda.now;
+        let held = &self.proxies[proxy].held;
+        let (held_by, version) = (held.incarnation, if held.has_gap { 0 } else { held.version });
+        let zone = self.proxies[proxy].zone;
+        let cap = MessageCap { most: self.day.limits.message_cap, span: self.day.limits.messages_span };
+        let Some(steward) = self.steward.as_mut() else {
+            self.waits_to_dial.push(proxy);
+            return;
+        };
+        self.last_stream += 1;
+        let (stream, gate) = (StreamId(self.last_stream), ModelGate::new(cap));
+        steward.gates[proxy] = Some((stream, gate.clone()));
+        self.proxies[proxy].stream = Some(stream);
+        let process = proxy as u64 + 1;
+        let subscribe = Subscribe { proxy: proxy as u32, zone, process, incarnation: held_by, version };
+        match &mut steward.mind {
+            Mind::Kernel(kernel) => kernel.join(now, stream, subscribe, gate, &mut Asked::default()),
+            Mind::Baseline(_, tables) => {
+                let (whole, version) = (tables.whole(), tables.version);
+                gate.push(Arc::new(Publication::new(whole, steward.incarnation, version, now, None)));
+            }
+        }
+        self.note(What::Stream(Stream { proxy: proxy as u32, up: true }));
+        self.steward_acts();
+    }
+
+    /// A proxy's stream breaks; it dials again some time later.
+    pub fn stream_breaks(&mut self, proxy: ProxyAt) {
+        let now = self.agenda.now;
+        let Some(stream) = self.proxies[proxy].stream else { return };
+        if let Some(steward) = self.steward.as_mut() {
+            steward.gates[proxy] = None;
+            if let Mind::Kernel(kernel) = &mut steward.mind {
+                kernel.leave(now, stream, ProxyId(proxy as u16), "broken", &mut Asked::default());
+            }
+        }
+        self.stream_ends(proxy);
+        self.steward_acts();
+    }
+
+    fn stream_ends(&mut self, proxy: ProxyAt) {
+        if self.proxies[proxy].stream.take().is_none() {
+            return;
+        }
+        self.note(What::Stream(Stream { proxy: proxy as u32, up: false }));
+        let pause = self.proxies[proxy].random() * self.day.redial;
+        self.agenda.after(pause, Due::Dials(proxy));
+    }
+
+    pub fn delta_arrives(&mut self, proxy: ProxyAt, stream: StreamId, publication: &Publication) {
+        if self.proxies[proxy].stream != Some(stream) {
+            return;
+        }
+        let Publication { change, incarnation, version, ordered_at, .. } = publication;
+        let delta = change.to_delta(*incarnation, *version, *ordered_at);
+        self.note(What::Delta(Received { proxy: proxy as u32, delta: delta.clone() }));
+        let state = &mut self.proxies[proxy];
+        let refuses = std::mem::take(&mut state.refuses_next);
+        let refused = refuses || state.held.take_in(&delta).is_err();
+        state.held.has_gap |= refused;
+        self.note(What::Answered(Answered { proxy: proxy as u32, nonce: *version, refused }));
+        self.agenda.after(self.physics.way, Due::Word(proxy, stream, *version, refused));
+    }
+
+    pub fn word_arrives(&mut self, proxy: ProxyAt, stream: StreamId, nonce: u64, refused: bool) {
+        let now = self.agenda.now;
+        let Some(steward) = self.steward.as_mut() else { return };
+        match &mut steward.mind {
+            Mind::Kernel(kernel) => {
+                kernel.settle(now, ProxyId(proxy as u16), stream, nonce, refused);
+                kernel.let_in(now);
+                kernel.act(now, || now, &mut Asked::default());
+            }
+            Mind::Baseline(..) => {
+                if let Some((_, gate)) = steward.gates[proxy].as_ref().filter(|gate| gate.0 == stream) {
+                    gate.settle(nonce, refused);
+                }
+            }
+        }
+        self.mail(proxy);
+        if self.steward.as_ref().is_some_and(Steward::has_mail) {
+            self.steward_acts();
+        }
+    }
+
+    pub fn reports(&mut self, proxy: ProxyAt) {
+        let now = self.agenda.now;
+        let sums = self.proxies[proxy].totals.take(now);
+        let late = self.day.report_late + self.sums_later;
+        self.agenda.after(late, Due::SumsArrive(proxy, Box::new(sums)));
+        self.agenda.after(self.day.report_every, Due::Reports(proxy));
+    }
+
+    pub fn sums_arrive(&mut self, proxy: ProxyAt, sums: Box<Sums>) {
+        let stream = self.proxies[proxy].stream;
+        if let (Some(stream), Some(steward)) = (stream, self.steward.as_mut()) {
+            steward.sums.push((stream, proxy, sums));
+        }
+    }
+
+    pub fn probed(&mut self, place: HostAt) {
+        let (now, within) = (self.agenda.now, self.installation.probe_within);
+        let host = &self.hosts[place];
+        let still = (host.ailments.still_until - now).max(0.0);
+        let took = still + self.day.probe_work * host.ailments.slower / host.facts.speed;
+        let (end, after) = if !host.alive {
+            (ProbeEnd::Unreachable, self.physics.way)
+        } else if host.ailments.hangs || took > within {
+            (ProbeEnd::Failed, within)
+        } else if host.ailments.fails {
+            (ProbeEnd::Failed, took)
+        } else if host.ailments.drains {
+            (ProbeEnd::TurnedAway, took)
+        } else {
+            (ProbeEnd::Answered, took)
+        };
+        self.agenda.after(after, Due::ProbeEnds(place, end));
+    }
+
+    pub fn probe_ends(&mut self, place: HostAt, end: ProbeEnd) {
+        let host = HostId(self.hosts[place].address);
+        if let Some(Mind::Kernel(kernel)) = self.steward.as_mut().map(|steward| &mut steward.mind) {
+            kernel.hear_probe(ProbeResult { host, end });
+            self.steward_acts();
+        }
+    }
+}
+
+impl Steward {
+    /// Some gate has something that may have to leave.
+    fn has_mail(&self) -> bool {
+        let waits = |gate: &ModelGate| gate.0.borrow().outbox.has_waiting();
+        self.gates.iter().flatten().any(|(_, gate)| waits(gate))
+    }
+}
--- /dev/null
+++ b/crates/railhub-fleet/src/world.rs
@@ -0,0 +1,278 @@
+//! One run of a day in the model: its state, and the loop over what is due.
+use crate::baseline::Baseline;
+use crate::events::{Agenda, Due, HostAt, ProxyAt};
+use crate::hosts::{Host, Repeated};
+use crate::list::{Line, List};
+use crate::operations::Op;
+use crate::steward::Steward;
+use railhub::Phase;
+use railhub_day::draw::{self, Arrival};
+use railhub_day::script::Day;
+use railhub_day::troubles::Act;
+use railhub_day::world::{first_tables, proxy_facts, steward_file, Tables};
+use railhub_ini::Sheet;
+use railhub_record::{Event, Limits, What};
+use railhub_standin::held::Held;
+use railhub_standin::host::HostFacts;
+use railhub_standin::sums::Totals;
+use railhub_standin::ClassFacts;
+use railhub_steward::inbox::StreamId;
+use railhub_steward::Installation;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Seconds between the opening of the fleet and the first operation, as the stand-ins have.
+const JOIN_WITHIN: f64 = 2.0;
+/// Seconds the fleet runs on after the last operation has ended.
+const RUN_ON: f64 = 1.0;
+/// Ports of the model's hosts begin here: they are names, nothing listens.
+const FIRST_PORT: u16 = 10_000;
+
+/// Who steers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    Steward,
+    /// Tables stay as they were at the start.
+    Fixed,
+    Baseline(Baseline),
+}
+
+/// What a machine adds to what a script says; a loopback record tells it. Seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Physics {
+    /// A message between two processes, one way.
+    pub way: f64,
+    /// How late work ends: timers are not exact.
+    pub work_late: f64,
+}
+
+impl Default for Physics {
+    /// Measured on loopback with the stand-ins, some two hundred operations a second.
+    fn default() -> Physics {
+        Physics { way: 0.000_15, work_late: 0.000_6 }
+    }
+}
+
+pub struct Proxy {
+    pub zone: u32,
+    pub held: Held,
+    pub totals: Totals,
+    pub chance: ChaCha8Rng,
+    /// Tries out at each host.
+    pub out: BTreeMap<SocketAddr, usize>,
+    pub stream: Option<StreamId>,
+    pub refuses_next: bool,
+}
+
+impl Proxy {
+    pub fn random(&mut self) -> f64 {
+        self.chance.random()
+    }
+}
+
+pub struct World<'a> {
+    pub day: &'a Day,
+    pub policy: Policy,
+    pub physics: Physics,
+    pub installation: Installation,
+    pub began: f64,
+    pub agenda: Agenda,
+    pub classes: Vec<ClassFacts>,
+    pub arrivals: Vec<Arrival>,
+    pub ops: Vec<Option<Op>>,
+    pub under_way: usize,
+    pub last_attempt: u64,
+    pub hosts: Vec<Host>,
+    pub places: BTreeMap<SocketAddr, HostAt>,
+    pub repeated: Repeated,
+    pub proxies: Vec<Proxy>,
+    pub list: List,
+    /// What a plain policy knows of the list.
+    pub known: BTreeMap<SocketAddr, Line>,
+    pub tables: Tables,
+    pub store_away: bool,
+    pub unstored: Tables,
+    pub steward: Option<Steward>,
+    pub incarnation: u64,
+    pub last_stream: u64,
+    pub waits_to_dial: Vec<ProxyAt>,
+    pub channel_slower: f64,
+    pub channel_free: f64,
+    pub sums_later: f64,
+    pub slow_links: BTreeSet<usize>,
+    pub taken: BTreeSet<HostAt>,
+    /// Whom each trouble struck.
+    pub struck: Vec<Vec<HostAt>>,
+    events: Vec<Event>,
+}
+
+/// Runs a day to its end; the record of it.
+pub fn run(day: &Day, policy: Policy, physics: Physics) -> Result<Vec<Event>, String> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let sheet = Sheet::read("the steward's settings", &steward_file(day, nowhere, nowhere));
+    let installation = sheet.and_then(|sheet| Installation::read(&sheet)).map_err(|e| e.to_string())?;
+    let mut world = World::new(day, policy, physics, installation);
+    world.open();
+    world.play();
+    let mut events = world.events;
+    events.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(events)
+}
+
+impl World<'_> {
+    fn new(day: &Day, policy: Policy, physics: Physics, installation: Installation) -> World<'_> {
+        let facts = draw::hosts(day, day.hosts, "hosts");
+        let proxies = (0..day.proxies).map(|n| {
+            let facts = proxy_facts(day, n);
+            Proxy {
+                zone: facts.zone,
+                held: Held::default(),
+                totals: Totals::new(0.0),
+                chance: ChaCha8Rng::seed_from_u64(facts.seed),
+                out: BTreeMap::new(),
+                stream: None,
+                refuses_next: false,
+            }
+        });
+        let mut world = World {
+            day,
+            policy,
+            physics,
+            installation,
+            began: JOIN_WITHIN,
+            agenda: Agenda::default(),
+            classes: day.class_facts(),
+            arrivals: draw::arrivals(day, draw::capacity(&facts)),
+            ops: Vec::new(),
+            under_way: 0,
+            last_attempt: 0,
+            hosts: Vec::new(),
+            places: BTreeMap::new(),
+            repeated: Repeated::default(),
+            proxies: proxies.collect(),
+            list: List::default(),
+            known: BTreeMap::new(),
+            tables: Tables::new(),
+            store_away: false,
+            unstored: Tables::new(),
+            steward: None,
+            incarnation: 0,
+            last_stream: 0,
+            waits_to_dial: Vec::new(),
+            channel_slower: 1.0,
+            channel_free: 0.0,
+            sums_later: 0.0,
+            slow_links: BTreeSet::new(),
+            taken: BTreeSet::new(),
+            struck: vec![Vec::new(); day.troubles.len()],
+            events: Vec::new(),
+        };
+        world.under_way = world.arrivals.len();
+        for facts in &facts {
+            world.place_host(facts.clone());
+        }
+        let addresses: Vec<SocketAddr> = world.hosts.iter().map(|host| host.address).collect();
+        world.tables = first_tables(day, &facts, &addresses);
+        let held = Held::standing(world.tables.clone());
+        world.proxies.iter_mut().for_each(|proxy| proxy.held = held.clone());
+        world
+    }
+
+    pub fn place_host(&mut self, facts: HostFacts) -> HostAt {
+        let place = self.hosts.len();
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + place as u16));
+        self.hosts.push(Host::new(address, facts));
+        self.places.insert(address, place);
+        place
+    }
+
+    pub fn note(&mut self, what: What) {
+        self.events.push(Event { at: self.agenda.now, what: Some(what) });
+    }
+
+    /// Seconds more each way between two zones, and the share lost.
+    pub fn between(&self, a: u32, b: u32) -> (f64, f64) {
+        let mut all = (0.0, 0.0f64);
+        for number in &self.slow_links {
+            if let Act::SlowLink { zone, other, delay, lost } = self.day.troubles[*number].act {
+                let joins = |end: u32| other.is_none_or(|other| other == end);
+                if a != b && (zone == a && joins(b) || zone == b && joins(a)) {
+                    all = (all.0 + delay, all.1.max(lost));
+                }
+            }
+        }
+        all
+    }
+
+    fn open(&mut self) {
+        let (from, until) = (self.began, self.began + self.day.length);
+        let limits = Limits { from, until, ..self.day.limits.clone() };
+        self.events.push(Event { at: 0.0, what: Some(What::Limits(limits)) });
+        for place in 0..self.hosts.len() {
+            self.host_starts(place, false);
+            let host = &self.hosts[place];
+            let (weight, kind) = (host.weight, host.facts.kind);
+            self.list.learn(host.address, Line { phase: Phase::Ready, started: None, weight, kind });
+        }
+        self.agenda.at(0.02, Due::StewardStarts);
+        for proxy in 0..self.proxies.len() {
+            let dials = 0.05 + self.proxies[proxy].random() * 0.02;
+            self.agenda.at(dials, Due::Dials(proxy));
+            let reports = self.day.report_every * (1.0 + self.proxies[proxy].random());
+            self.agenda.at(reports, Due::Reports(proxy));
+        }
+        for (number, trouble) in self.day.troubles.iter().enumerate() {
+            self.agenda.at(self.began + trouble.at, Due::TroubleOn(number));
+        }
+        for number in 0..self.arrivals.len() {
+            self.agenda.at(self.began + self.arrivals[number].at, Due::Comes(number));
+        }
+    }
+
+    fn play(&mut self) {
+        let troubles = self.day.troubles.iter().map(|trouble| trouble.at + trouble.long);
+        let last = self.began + troubles.fold(self.day.length, f64::max);
+        let mut ends_at = f64::INFINITY;
+        while let Some(due) = self.agenda.next() {
+            let now = self.agenda.now;
+            if self.under_way == 0 && now >= last && ends_at.is_infinite() {
+                ends_at = now + RUN_ON;
+            }
+            if now > ends_at {
+                return;
+            }
+            self.handle(due);
+        }
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::Comes(number) => self.comes(number),
+            Due::ComesAgain(op) => self.comes_again(op),
+            Due::Looks(op) => self.looks(op),
+            Due::Reaches(op, attempt) => self.reaches(op, attempt),
+            Due::WaitEnds(op, attempt) => self.wait_ends(op, attempt),
+            Due::Answered(op, attempt, end) => self.answered(op, attempt, end),
+            Due::Begins(host, life, job) => self.begins(host, life, job),
+            Due::Done(host, life, job, repeat) => self.done(host, life, job, repeat),
+            Due::Dials(proxy) => self.dials(proxy),
+            Due::Reports(proxy) => self.reports(proxy),
+            Due::SumsArrive(proxy, sums) => self.sums_arrive(proxy, sums),
+            Due::Delta(proxy, stream, publication) => self.delta_arrives(proxy, stream, &publication),
+            Due::Word(proxy, stream, nonce, refused) => self.word_arrives(proxy, stream, nonce, refused),
+            Due::Mail(proxy) => self.mail(proxy),
+            Due::Probed(host) => self.probed(host),
+            Due::ProbeEnds(host, end) => self.probe_ends(host, end),
+            Due::ListTells => self.list_tells(),
+            Due::ListLearns(host, phase) => self.list_learns(host, phase),
+            Due::StewardWakes => self.steward_acts(),
+            Due::StewardStarts => self.start_steward(),
+            Due::TroubleOn(number) => self.trouble_on(number),
+            Due::TroubleOff(number) => self.trouble_off(number),
+            Due::Pulse(number, step) => self.pulse(number, step),
+            Due::DrainEnds(host) => self.drain_ends(host),
+        }
+    }
+}
--- a/crates/railhub-standin/src/lib.rs
+++ b/crates/railhub-standin/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod proxy;
 pub mod roster;
 pub mod store;
-mod sums;
+pub mod sums;
 
 use railhub_record::Repeats;
 
