railhub compare: arms side by side in the model; time-outs that the runtime's timers cannot lose

The runtime's timer thread had panicked (may_queue, an assertion on reference counts: timers taken back while others run out), and every sleep of the process with it. Change: time-outs of reads, tries and probes run on a thread of our own that never takes a timer back.

--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `railhub`: the steward, scripted days, and the checker. Results go to standard output, logs to standard
 //! error; exit 0 good, 2 bad usage or input, 3 a rule broke or a check failed.
+mod compare;
 mod day;
 mod launch;
 mod logs;
@@ -40,6 +41,8 @@
     Standin(standin::StandinArguments),
     /// Runs a day in the model of a fleet, in simulated time.
     Model(model::ModelArguments),
+    /// Runs arms of a day side by side in the model, until the difference is known.
+    Compare(compare::CompareArguments),
     /// Judges the rules from a record alone.
     Check(day::CheckArguments),
 }
@@ -81,6 +84,7 @@
         Command::Day(given) => day::run(&given, arguments.log),
         Command::Standin(given) => standin::run(&given),
         Command::Model(given) => model::run(&given),
+        Command::Compare(given) => compare::run(&given),
         Command::Check(given) => day::check(&given),
     };
     match ended {
--- a/crates/railhub-ini/src/lib.rs
+++ b/crates/railhub-ini/src/lib.rs
@@ -190,6 +190,11 @@
         parts.filter(|part| !part.is_empty()).map(str::to_owned).collect()
     }
 
+    /// All keys, in the order of the file.
+    pub fn keys(&self) -> Vec<String> {
+        self.properties.into_iter().flat_map(|all| all.iter().map(|(key, _)| key.to_owned())).collect()
+    }
+
     /// Complains of the first key that nothing asked for.
     pub fn done(&self) -> Result<(), Complaint> {
         let asked = self.asked.borrow();
--- /dev/null
+++ b/crates/railhub-net/src/deadline.rs
@@ -0,0 +1,138 @@
+//! Time-outs by a thread of our own. The runtime's timer list can fail an assertion when many timers are taken
+//! back while others run out (seen under load with `may` 0.3: the timer thread panicked and every sleep of the
+//! process hung), so nothing here takes one back: a wait that ended early leaves an entry that does nothing.
+use crate::clock::{now, seconds};
+use may::net::TcpStream;
+use std::collections::BinaryHeap;
+use std::os::fd::{AsRawFd, RawFd};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex, OnceLock};
+
+/// Seconds the thread sleeps when nothing is due.
+const IDLE: f64 = 3600.0;
+
+type Act = Box<dyn FnOnce() + Send>;
+
+struct Entry {
+    at: f64,
+    act: Act,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Entry) -> bool {
+        self.at == other.at
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Entry) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Entry) -> std::cmp::Ordering {
+        other.at.total_cmp(&self.at)
+    }
+}
+
+/// Does something after a span; it must not wait.
+pub fn after(span: f64, act: impl FnOnce() + Send + 'static) {
+    static THREAD: OnceLock<Sender<Entry>> = OnceLock::new();
+    let sender = THREAD.get_or_init(|| {
+        let (sender, receiver) = channel::<Entry>();
+        std::thread::spawn(move || {
+            let mut entries = BinaryHeap::new();
+            loop {
+                let wait = entries.peek().map_or(IDLE, |entry: &Entry| entry.at - now());
+                match receiver.recv_timeout(seconds(wait)) {
+                    Ok(entry) => entries.push(entry),
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                while entries.peek().is_some_and(|entry| entry.at <= now()) {
+                    if let Some(entry) = entries.pop() {
+                        (entry.act)();
+                    }
+                }
+            }
+        });
+        sender
+    });
+    let _ = sender.send(Entry { at: now() + span, act: Box::new(act) });
+}
+
+struct Watched {
+    /// The socket, while its owner has it open.
+    socket: Mutex<Option<RawFd>>,
+    /// Bits of the moment it was last heard.
+    heard: AtomicU64,
+    span: f64,
+    fired: AtomicBool,
+}
+
+/// Ends reading from a socket when nothing is heard on it for a span. It must end before its socket does.
+pub struct Guard(Arc<Watched>);
+
+impl Guard {
+    pub fn new(socket: &TcpStream, span: f64) -> Guard {
+        let watched = Watched {
+            socket: Mutex::new(Some(socket.inner().as_raw_fd())),
+            heard: AtomicU64::new(now().to_bits()),
+            span,
+            fired: AtomicBool::new(false),
+        };
+        let watched = Arc::new(watched);
+        watch(watched.clone(), span);
+        Guard(watched)
+    }
+
+    pub fn heard(&self) {
+        self.0.heard.store(now().to_bits(), Ordering::Relaxed);
+    }
+
+    /// It has shut the socket down.
+    pub fn fired(&self) -> bool {
+        self.0.fired.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        *self.0.socket.lock().expect("no holder panics") = None;
+    }
+}
+
+fn watch(watched: Arc<Watched>, span: f64) {
+    after(span, move || {
+        let left = f64::from_bits(watched.heard.load(Ordering::Relaxed)) + watched.span - now();
+        let socket = watched.socket.lock().expect("no holder panics");
+        let Some(descriptor) = *socket else { return };
+        if left > 0.0 {
+            drop(socket);
+            return watch(watched, left);
+        }
+        watched.fired.store(true, Ordering::Release);
+        // SAFETY: the guard ends, and takes the descriptor away under this lock, before the socket is closed.
+        unsafe { libc::shutdown(descriptor, libc::SHUT_RD) };
+    });
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn things_happen_in_the_order_of_their_times() {
+        let (sender, receiver) = channel();
+        for span in [0.09, 0.03, 0.06] {
+            let sender = sender.clone();
+            after(span, move || sender.send(span).expect("still read"));
+        }
+        let got: Vec<f64> = (0..3).map(|_| receiver.recv().expect("it happens")).collect();
+        assert_eq!(got, [0.03, 0.06, 0.09]);
+    }
+}
--- a/crates/railhub-net/src/http.rs
+++ b/crates/railhub-net/src/http.rs
@@ -1,5 +1,6 @@
 //! As much HTTP/1.1 as roster, store and probes need: one exchange after another on a connection, bodies of a
 //! stated length, everything bounded. Parsed by `httparse`.
+use crate::deadline::Guard;
 use may::net::TcpStream;
 use serde::{de::DeserializeOwned, Serialize};
 use std::io::{self, Read, Write};
@@ -90,7 +91,6 @@
             None => {
                 let stream =
                     TcpStream::connect_timeout(&self.address, self.within).map_err(HttpFault::Unreached)?;
-                stream.set_read_timeout(Some(self.within)).map_err(HttpFault::Broken)?;
                 stream.set_nodelay(true).map_err(HttpFault::Broken)?;
                 stream
             }
@@ -102,8 +102,12 @@
         );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body);
+        let guard = Guard::new(&stream, self.within.as_secs_f64());
         stream.write_all(&bytes).map_err(HttpFault::Broken)?;
-        let (status, body) = read_answer(&mut stream)?;
+        let read = read_answer(&mut stream);
+        let late = guard.fired();
+        drop(guard);
+        let (status, body) = if late { Err(HttpFault::Silent) } else { read }?;
         self.stream = Some(stream);
         if status == 200 {
             Ok(body)
@@ -179,9 +183,6 @@
             read.extend_from_slice(&bytes[..count]);
             Ok(())
         }
-        Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-            Err(HttpFault::Silent)
-        }
         Err(e) => Err(HttpFault::Broken(e)),
     }
 }
--- a/crates/railhub-net/src/lib.rs
+++ b/crates/railhub-net/src/lib.rs
@@ -4,12 +4,14 @@
 //! coroutine; [`FrameReader`] gives whole messages under a limit; [`FrameWriter`] writes frames. A peer that
 //! sends what is not a message ends its own stream and nothing else.
 mod clock;
+mod deadline;
 pub mod http;
 mod listen;
 mod stream;
 mod task;
 
 pub use clock::{now, seconds};
+pub use deadline::{after, Guard};
 pub use listen::Listener;
 pub use stream::{connect, reset, split, FrameReader, FrameWriter, StreamEnd};
 pub use task::{go, start, Task};
--- a/crates/railhub-net/src/stream.rs
+++ b/crates/railhub-net/src/stream.rs
@@ -1,4 +1,5 @@
 //! Framed streams over TCP.
+use crate::deadline::Guard;
 use may::io::{SplitIo, SplitReader, SplitWriter};
 use may::net::TcpStream;
 use prost::Message;
@@ -26,6 +27,8 @@
 }
 
 pub struct FrameReader {
+    /// Before the socket, so that it ends first.
+    guard: Option<Guard>,
     socket: SplitReader<TcpStream>,
     deframer: Deframer,
 }
@@ -38,7 +41,10 @@
 pub fn split(stream: TcpStream, limit: usize) -> io::Result<(FrameReader, FrameWriter)> {
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.split()?;
-    Ok((FrameReader { socket: reader, deframer: Deframer::new(limit) }, FrameWriter { socket: writer }))
+    Ok((
+        FrameReader { guard: None, socket: reader, deframer: Deframer::new(limit) },
+        FrameWriter { socket: writer },
+    ))
 }
 
 pub fn connect(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
@@ -69,23 +75,29 @@
                 return Ok(message);
             }
             let mut bytes = [0; READ_AT_ONCE];
-            match self.socket.read(&mut bytes) {
+            let read = self.socket.read(&mut bytes);
+            if self.guard.as_ref().is_some_and(Guard::fired) {
+                return Err(StreamEnd::Silent);
+            }
+            match read {
                 Ok(0) => {
                     self.deframer.finish()?;
                     return Err(StreamEnd::Closed);
                 }
-                Ok(read) => self.deframer.push(&bytes[..read]),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-                    return Err(StreamEnd::Silent)
+                Ok(read) => {
+                    self.guard.iter().for_each(Guard::heard);
+                    self.deframer.push(&bytes[..read]);
                 }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(StreamEnd::Broken(e)),
             }
         }
     }
 
-    pub fn patience(&mut self, span: Option<Duration>) -> io::Result<()> {
-        self.socket.inner_mut().set_read_timeout(span)
+    /// How long the peer may be silent, from now on; reading ends past it.
+    pub fn patience(&mut self, span: Option<f64>) {
+        self.guard = None;
+        self.guard = span.map(|span| Guard::new(self.socket.inner_mut(), span));
     }
 }
 
--- a/crates/railhub-standin/src/host.rs
+++ b/crates/railhub-standin/src/host.rs
@@ -2,7 +2,7 @@
 use crate::ClassFacts;
 use may::net::TcpStream;
 use may::sync::Mutex;
-use railhub_net::{go, http, now, reset, seconds, split, FrameReader, FrameWriter, Listener};
+use railhub_net::{go, http, now, reset, seconds, split, FrameReader, FrameWriter, Guard, Listener};
 use railhub_proto::{
     from_host, to_host, Answer, Ending, FromHost, HostHello, Operation, ToHost, OPERATION_LIMIT,
 };
@@ -214,14 +214,14 @@
     /// A connection is a probe's if it begins like HTTP, else a proxy's.
     fn serve(self: Arc<Host>, mut stream: TcpStream) -> io::Result<()> {
         let mut first = [0u8; 1];
-        stream.set_read_timeout(Some(seconds(PROBE_HELD)))?;
+        let guard = Guard::new(&stream, PROBE_HELD);
         if stream.peek(&mut first)? == 0 {
             return Ok(());
         }
         if first[0].is_ascii_alphabetic() {
             return self.answer_probe(&mut stream);
         }
-        stream.set_read_timeout(None)?;
+        drop(guard);
         let (reader, writer) = split(stream, OPERATION_LIMIT)?;
         self.follow(reader, Arc::new(Mutex::new(writer)));
         Ok(())
--- a/crates/railhub-standin/src/lane.rs
+++ b/crates/railhub-standin/src/lane.rs
@@ -1,6 +1,6 @@
 //! A proxy's connection to one host: many tries at once, opened when needed.
 use may::sync::{Mutex, SyncFlag};
-use railhub_net::{connect, go, seconds, split, FrameReader, FrameWriter};
+use railhub_net::{after, connect, go, seconds, split, FrameReader, FrameWriter};
 use railhub_proto::{
     from_host, to_host, Answer, Cancel, Ending, FromHost, Hail, Operation, ToHost, OPERATION_LIMIT,
 };
@@ -33,8 +33,9 @@
 }
 
 impl Pending {
+    /// The first word holds.
     fn finish(&self, end: CallEnd) {
-        *self.end.lock().expect("no holder panics") = Some(end);
+        self.end.lock().expect("no holder panics").get_or_insert(end);
         self.done.fire();
     }
 }
@@ -89,8 +90,12 @@
             self.pending.lock().expect("no holder panics").remove(&try_id);
             return CallEnd::Failed;
         }
-        if pending.done.wait_timeout(seconds(wait)) {
-            return pending.end.lock().expect("no holder panics").unwrap_or(CallEnd::Failed);
+        let waiting = Arc::downgrade(&pending);
+        after(wait, move || waiting.upgrade().iter().for_each(|pending| pending.finish(CallEnd::TimedOut)));
+        pending.done.wait();
+        let end = pending.end.lock().expect("no holder panics").unwrap_or(CallEnd::Failed);
+        if end != CallEnd::TimedOut {
+            return end;
         }
         self.pending.lock().expect("no holder panics").remove(&try_id);
         let _ = say(&writer, to_host::Word::Cancel(Cancel { try_id }));
@@ -104,10 +109,10 @@
         }
         let stream = connect(self.host, seconds(self.within)).ok()?;
         let (mut reader, mut writer) = split(stream, OPERATION_LIMIT).ok()?;
-        reader.patience(Some(seconds(self.within))).ok()?;
+        reader.patience(Some(self.within));
         writer.send(&ToHost { word: Some(to_host::Word::Hail(Hail { proxy: self.proxy })) }).ok()?;
         let FromHost { word: Some(from_host::Word::Hello(_)) } = reader.receive().ok()? else { return None };
-        reader.patience(None).ok()?;
+        reader.patience(None);
         let writer = Arc::new(Mutex::new(writer));
         open.0 += 1;
         open.1 = Some(writer.clone());
--- a/crates/railhub-steward/src/outbox.rs
+++ b/crates/railhub-steward/src/outbox.rs
@@ -110,7 +110,8 @@
         if self.in_flight.len() >= IN_FLIGHT {
             return Next::Nothing;
         }
-        while self.left_at.front().is_some_and(|at| now - at > self.cap.span + CAP_SLACK) {
+        // The same sum as told below: a writer that waits until then finds the message gone.
+        while self.left_at.front().is_some_and(|at| at + self.cap.span + CAP_SLACK <= now) {
             self.left_at.pop_front();
         }
         let Some(publication) = self.waiting.take() else { return Next::Nothing };
--- a/crates/railhub-steward/src/streams.rs
+++ b/crates/railhub-steward/src/streams.rs
@@ -7,7 +7,7 @@
 use may::net::TcpStream;
 use may::sync::{Mutex, Semphore};
 use railhub::{MarkId, ProxyId, Seconds, ZoneId};
-use railhub_net::{go, now, seconds, split, FrameReader, FrameWriter, StreamEnd};
+use railhub_net::{after, go, now, seconds, split, FrameReader, FrameWriter, StreamEnd};
 use railhub_proto::{from_proxy, from_steward, FromProxy, FromSteward, Goodbye, Subscribe, FROM_PROXY_LIMIT};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -121,7 +121,7 @@
     inbox: &Arc<Inbox>,
     terms: StreamTerms,
 ) {
-    let _ = reader.patience(Some(seconds(terms.first_within)));
+    reader.patience(Some(terms.first_within));
     let _ = writer.patience(Some(seconds(terms.silent_after)));
     let subscribe = match first_word(&mut reader) {
         Ok(subscribe) => subscribe,
@@ -136,7 +136,7 @@
     let (_ending, behind) = (Ending(door.clone()), door.clone());
     go(move || write(writer, &behind));
     inbox.tell(Word::Joins { stream: id, subscribe, door: door.clone() });
-    let _ = reader.patience(Some(seconds(terms.silent_after)));
+    reader.patience(Some(terms.silent_after));
     let mut allowance = Allowance::new(now());
     let why = loop {
         if let Err(why) = read(&mut reader, id, proxy, zone, inbox) {
@@ -202,7 +202,7 @@
 }
 
 /// Writes what the outbox gives until the stream ends. It holds no lock while it writes.
-fn write(mut writer: FrameWriter, door: &Door) {
+fn write(mut writer: FrameWriter, door: &Arc<Door>) {
     loop {
         let next = door.with(|inner| match inner.goodbye.clone() {
             Some(reason) => Err(reason),
@@ -211,7 +211,11 @@
         match next {
             Err(reason) => return say_goodbye(&mut writer, &reason),
             Ok(Next::Nothing) => door.wake.wait(),
-            Ok(Next::WaitUntil(until)) => _ = door.wake.wait_timeout(seconds(until - now())),
+            Ok(Next::WaitUntil(until)) => {
+                let waking = door.clone();
+                after(until - now(), move || waking.wake.post());
+                door.wake.wait();
+            }
             Ok(Next::Write(publication)) => {
                 if writer.send_bytes(&publication.bytes).is_err() {
                     return writer.close();
