--- a/crates/railhub-cli/src/compare.rs
+++ b/crates/railhub-cli/src/compare.rs
@@ -2,6 +2,7 @@
 use crate::Ending;
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
+use railhub_experiment::charts;
 use railhub_experiment::report::{csv, words};
 use railhub_experiment::{compare, Experiment};
 use std::io::IsTerminal;
@@ -17,6 +18,9 @@
     /// Keep every run as a table.
     #[arg(long)]
     csv: Option<PathBuf>,
+    /// Keep figures and charts as one page, HTML.
+    #[arg(long)]
+    page: Option<PathBuf>,
 }
 
 pub fn run(arguments: &CompareArguments) -> Result<(), Ending> {
@@ -32,6 +36,10 @@
     if let Some(path) = &arguments.csv {
         std::fs::write(path, csv(&outcome))?;
     }
+    if let Some(path) = &arguments.page {
+        let page = charts::page(&outcome).map_err(|e| Ending::Input(format!("the page: {e}")))?;
+        std::fs::write(path, page)?;
+    }
     if arguments.json {
         println!("{}", serde_json::to_string(&outcome)?);
     } else {
--- a/crates/railhub-steward/src/outbox.rs
+++ b/crates/railhub-steward/src/outbox.rs
@@ -276,4 +276,18 @@
         assert!((4..=6).contains(&most.unwrap_or(0)), "{left:?}");
         assert!(left.len() >= 12, "{left:?}");
     }
+
+    #[test]
+    fn a_writer_that_waits_until_it_is_told_may_write_then() {
+        for n in 0..1000 {
+            let began = 2.0 + f64::from(n) * 0.137_31;
+            let mut outbox = Outbox::new(MessageCap { most: 2, span: 10.0 });
+            outbox.push(line(1, 1, 1.0));
+            assert!(take(&mut outbox, began).is_some());
+            outbox.confirm(1);
+            outbox.push(line(2, 1, 2.0));
+            let Next::WaitUntil(until) = outbox.take(began + 0.5) else { panic!("the cap allows one") };
+            assert!(take(&mut outbox, until).is_some(), "told {until}, began {began}");
+        }
+    }
 }
