A slice or class number that does not fit is refused instead of wrapped

Cause: found on reading the change once more: class 256 in a proxy's sums counted as class 0. Change: such sums end that stream with a reason. Result: a case in the test of what is not believed.

--- a/crates/railhub-steward/src/intake.rs
+++ b/crates/railhub-steward/src/intake.rs
@@ -4,7 +4,7 @@
 //! Proxies report at their own moments, late and not always. What came is therefore spread over the time that
 //! the reports cover on average, whoever sent them: a proxy that is late lowers both alike, so rates hold.
 use railhub::{ClassId, DemandSum, HostId, Seconds, SliceId, TrySum, ZoneId};
-use railhub_proto::Sums;
+use railhub_proto::{SliceSum, Sums};
 use std::collections::BTreeMap;
 
 /// Seconds one report may cover, the longest that is believed.
@@ -55,6 +55,10 @@
     if !sums.hosts.iter().filter_map(|sum| sum.busy).all(sane) {
         return Some("a load that cannot be");
     }
+    let known = |sum: &SliceSum| u16::try_from(sum.slice).is_ok() && u8::try_from(sum.class).is_ok();
+    if !sums.demand.iter().all(known) {
+        return Some("a slice or class that cannot be");
+    }
     None
 }
 
@@ -122,7 +126,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use railhub_proto::{HostSum, SliceSum};
+    use railhub_proto::HostSum;
 
     fn sums(span: f64, tries: u32) -> Sums {
         let host = "127.0.0.1:8000".to_owned();
@@ -174,5 +178,8 @@
         let mut lies = sums(1.0, 3);
         lies.hosts[0].failed = 4;
         assert!(fault(&lies).is_some());
+        let mut wraps = sums(1.0, 3);
+        wraps.demand[0].class = 256;
+        assert!(fault(&wraps).is_some());
     }
 }
