Read once more: one way to launch a steward, the bootstrap named as what it is

Need: the change was read again. Change: a wrapper without a job goes; a comment misnamed the interval's method.

--- a/crates/railhub-day/src/play.rs
+++ b/crates/railhub-day/src/play.rs
@@ -42,7 +42,7 @@
 ) -> Result<Played, String> {
     let recorder = Recorder::start(record).map_err(|e| e.to_string())?;
     let world = World::open(day, &recorder, launch, sabotage).map_err(|e| format!("the fleet: {e}"))?;
-    world.open_steward()?;
+    world.launch_steward()?;
     world.follow_steward();
     std::thread::sleep(seconds(world.began - now()));
     world.note_limits();
--- a/crates/railhub-day/src/world.rs
+++ b/crates/railhub-day/src/world.rs
@@ -48,7 +48,7 @@
 }
 
 impl World {
-    /// Starts hosts, list, store and proxies; the steward follows with [`World::start_steward`]. Without a way
+    /// Starts hosts, list, store and proxies; the steward follows with [`World::launch_steward`]. Without a way
     /// to launch one, proxies keep the tables that they are given here.
     pub fn open(
         day: &Day,
@@ -243,7 +243,7 @@
     }
 
     /// Launches a steward and tells the proxies where it is. Waits for it: not in a coroutine.
-    fn launch_steward(&self) -> Result<(), String> {
+    pub fn launch_steward(&self) -> Result<(), String> {
         let Some(launch) = &self.launch else { return Ok(()) };
         let launched = launch(&steward_file(&self.day, self.roster.address, self.store.address))?;
         self.around.recorder.note(now(), What::StewardLife(StewardLife { up: true }));
@@ -252,11 +252,6 @@
         Ok(())
     }
 
-    /// The first steward.
-    pub fn open_steward(&self) -> Result<(), String> {
-        self.launch_steward()
-    }
-
     pub fn start_steward(self: &Arc<World>) {
         let world = self.clone();
         std::thread::spawn(move || {
--- a/crates/railhub-experiment/src/stats.rs
+++ b/crates/railhub-experiment/src/stats.rs
@@ -1,5 +1,5 @@
-//! Means and intervals. A difference is taken seed by seed; its interval by a studentised-free bootstrap of
-//! the mean, since service has heavy tails: one jam in twenty days decides.
+//! Means and intervals. A difference is taken seed by seed; its interval by a percentile bootstrap of the
+//! mean, since service has heavy tails: one jam in twenty days decides.
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
