--- /dev/null
+++ b/crates/railhub-adapter/tests/version.rs
@@ -0,0 +1,54 @@
+//! The adapter as a version that steers a fleet in the model, beside the module in the same process.
+use railhub_day::report::service;
+use railhub_day::Day;
+use railhub_fleet::{run, Physics, Policy};
+use railhub_record::Event;
+use railhub_rules::{judge, limits};
+use std::path::{Path, PathBuf};
+
+fn played(name: &str, seed: u64, policy: &Policy) -> Vec<Event> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(name);
+    let day = Day { seed, ..Day::open(&path).expect("a good script") };
+    run(&day, policy, Physics::default()).expect("it runs")
+}
+
+fn adapter() -> Policy {
+    Policy::Version(PathBuf::from(env!("CARGO_BIN_EXE_railhub-adapter")))
+}
+
+/// The protocol has whole microseconds, the module has not: nothing else may differ.
+#[test]
+fn the_adapter_serves_a_day_as_the_module_does() {
+    let mut apart = 0.0f64;
+    for seed in 1..=3 {
+        for name in ["short.ini", "short-weights.ini"] {
+            let served = |policy: &Policy| {
+                let events = played(name, seed, policy);
+                assert!(
+                    judge(&events).expect("a record").iter().all(|verdict| verdict.kept),
+                    "{name} {seed}"
+                );
+                service(&events, limits(&events).expect("limits come first")).whole
+            };
+            apart += served(&adapter()) - served(&Policy::Steward);
+        }
+    }
+    assert!(apart.abs() / 6.0 < 0.01, "{apart} over six days");
+}
+
+#[test]
+fn a_version_that_is_killed_with_its_steward_starts_anew() {
+    let events = played("short.ini", 3, &adapter());
+    let lives = events
+        .iter()
+        .filter(|event| matches!(&event.what, Some(railhub_record::What::StewardLife(life)) if life.up));
+    assert_eq!(lives.count(), 2);
+}
+
+#[test]
+fn a_version_that_is_no_such_program_fails_the_run_and_is_named() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/short.ini");
+    let day = Day::open(&path).expect("a good script");
+    let fault = run(&day, &Policy::Version("/bin/false".into()), Physics::default()).expect_err("a fault");
+    assert!(fault.starts_with("the version /bin/false: "), "{fault}");
+}
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod model;
 mod standin;
 mod steward;
+mod traffic;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
@@ -43,6 +44,8 @@
     Model(model::ModelArguments),
     /// Runs arms of a day side by side in the model, until the difference is known.
     Compare(compare::CompareArguments),
+    /// Recorded operations: takes, shows, fits, cuts and scales them.
+    Traffic(traffic::TrafficArguments),
     /// Judges the rules from a record alone.
     Check(day::CheckArguments),
 }
@@ -85,6 +88,7 @@
         Command::Standin(given) => standin::run(&given),
         Command::Model(given) => model::run(&given),
         Command::Compare(given) => compare::run(&given),
+        Command::Traffic(given) => traffic::run(&given),
         Command::Check(given) => day::check(&given),
     };
     match ended {
--- a/crates/railhub-cli/src/model.rs
+++ b/crates/railhub-cli/src/model.rs
@@ -49,6 +49,7 @@
     Fixed,
     Hash,
     Even,
+    Latency,
 }
 
 impl Steers {
@@ -58,6 +59,7 @@
             Steers::Fixed => Policy::Fixed,
             Steers::Hash => Policy::Baseline(Baseline::Hash),
             Steers::Even => Policy::Baseline(Baseline::Even),
+            Steers::Latency => Policy::Baseline(Baseline::Latency),
         }
     }
 }
@@ -70,7 +72,7 @@
     let physics = arguments.physics.as_deref().map_or(Ok(Physics::default()), read_physics)?;
     let mut day = Day::open(file)?;
     day.seed = arguments.seed.unwrap_or(day.seed);
-    let play = |policy| run_model(&day, policy, physics).map_err(Ending::Input);
+    let play = |policy: Policy| run_model(&day, &policy, physics).map_err(Ending::Input);
     let events = play(arguments.policy.policy())?;
     let fixed = (!arguments.no_fixed).then(|| play(Policy::Fixed)).transpose()?;
     let fixed = fixed.and_then(|events| Some(service(&events, limits(&events)?)));
--- a/crates/railhub-day/src/draw.rs
+++ b/crates/railhub-day/src/draw.rs
@@ -1,5 +1,6 @@
 //! Draws a day's fleet and operations from its seed, all ahead: the same day brings the same operations,
 //! whatever is done with them.
+use crate::replay;
 use crate::script::Day;
 use crate::troubles::{Act, GiveUpHow, ShiftHow};
 use railhub_standin::client::Drawn;
@@ -9,7 +10,7 @@
 use rand_distr::{Distribution, LogNormal, Zipf};
 
 /// How unequal keys of a slice are.
-const KEY_EXPONENT: f64 = 0.7;
+pub const KEY_EXPONENT: f64 = 0.7;
 /// Rounds in which rate and keys met are brought into agreement: they change little after the first.
 const ROUNDS: usize = 4;
 
@@ -66,6 +67,9 @@
 
 /// How much of the traffic each slice draws: unequal, in sum 1.
 pub fn slice_sizes(day: &Day) -> Vec<f64> {
+    if let Some(traffic) = &day.replay {
+        return replay::slice_sizes(traffic, day.slices);
+    }
     let mut chance = chance(day.seed, "slices");
     let sizes: Vec<f64> =
         (0..day.slices.max(1)).map(|_| spread(&mut chance, 1.0, day.slice_spread)).collect();
@@ -86,14 +90,14 @@
 }
 
 /// A positive number with such a mean and such a spread over the mean.
-fn spread(chance: &mut ChaCha8Rng, mean: f64, cv: f64) -> f64 {
+pub fn spread(chance: &mut ChaCha8Rng, mean: f64, cv: f64) -> f64 {
     let sigma = (1.0 + cv * cv).ln().sqrt();
     let drawn = LogNormal::new(mean.ln() - sigma * sigma / 2.0, sigma);
     drawn.map_or(mean, |drawn| drawn.sample(chance))
 }
 
 /// A place in a list by its weight.
-fn place(chance: &mut ChaCha8Rng, weights: &[f64]) -> usize {
+pub fn place(chance: &mut ChaCha8Rng, weights: &[f64]) -> usize {
     let mut left = chance.random::<f64>() * weights.iter().sum::<f64>();
     weights
         .iter()
@@ -122,6 +126,78 @@
 }
 
 pub fn arrivals(day: &Day, capacity: f64) -> Vec<Arrival> {
+    match &day.replay {
+        Some(traffic) => replay::arrivals(day, traffic),
+        None => drawn_arrivals(day, capacity),
+    }
+}
+
+/// An operation before troubles have had their say.
+pub struct Coming {
+    pub class: usize,
+    pub slice: usize,
+    pub key: u64,
+    /// Times its usual work.
+    pub times: f64,
+    pub patience: f64,
+    pub comes_back: bool,
+    /// Shares of its coming at each zone.
+    pub zones: Vec<f64>,
+}
+
+impl Coming {
+    /// Troubles that lie in the operations themselves. Each takes one draw, whether it strikes or not.
+    pub fn trouble(&mut self, day: &Day, at: f64, slices: usize, chance: &mut ChaCha8Rng) {
+        for trouble in &day.troubles {
+            let luck = chance.random::<f64>();
+            let begun = ((at - trouble.at) / trouble.long.max(0.001)).clamp(0.0, 1.0);
+            let is_on = trouble.at <= at && at < trouble.at + trouble.long;
+            match &trouble.act {
+                Act::HotKey { share, keys: hot } if is_on && luck < *share => {
+                    let which = (luck / share * *hot as f64) as usize;
+                    self.slice = (which * 7 + 3) % slices;
+                    self.key = u64::MAX / 2 + which as u64;
+                }
+                Act::Heavy { share, times: heavier } if is_on && luck < *share => self.times *= heavier,
+                Act::Shift { share, how: ShiftHow::Zone(zone) } => {
+                    let moved = share * begun;
+                    self.zones.iter_mut().enumerate().for_each(|(n, part)| {
+                        *part = *part * (1.0 - moved) + if n == *zone as usize { moved } else { 0.0 };
+                    });
+                }
+                Act::Shift { share, how: ShiftHow::Mix } if luck < share * begun => {
+                    self.class = heaviest_class(day);
+                }
+                Act::GiveUp { share, patience: left, how } if is_on && luck < *share => {
+                    let facts = &day.classes[self.class].facts;
+                    self.patience = (left * facts.contract_time / facts.hard_stop).min(1.0);
+                    self.comes_back = *how == GiveUpHow::Leave;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn heaviest_class(day: &Day) -> usize {
+    let work = |n: &usize| day.classes[*n].work;
+    (0..day.classes.len()).max_by(|a, b| work(a).total_cmp(&work(b))).unwrap_or(0)
+}
+
+/// What proxies draw of the traffic of a zone.
+pub fn proxies_of(day: &Day, proxies: &[f64], zone: usize) -> Vec<f64> {
+    let inside = |n: &usize| n % day.zones.len() == zone;
+    let weight = |(n, weight): (usize, &f64)| {
+        if inside(&n) || day.proxies < day.zones.len() {
+            *weight
+        } else {
+            0.0
+        }
+    };
+    proxies.iter().enumerate().map(weight).collect()
+}
+
+fn drawn_arrivals(day: &Day, capacity: f64) -> Vec<Arrival> {
     let mut chance = chance(day.seed, "operations");
     let sizes = slice_sizes(day);
     let shares: Vec<f64> = day.classes.iter().map(|class| class.share).collect();
@@ -130,9 +206,6 @@
     let rate = offered_rate(day, capacity, work, &sizes);
     let proxies: Vec<f64> = (0..day.proxies).map(|_| spread(&mut chance, 1.0, 0.7)).collect();
     let keys = Zipf::new(day.keys as f64, KEY_EXPONENT).expect("at least one key and a positive exponent");
-    let heaviest = (0..day.classes.len())
-        .max_by(|a, b| day.classes[*a].work.total_cmp(&day.classes[*b].work))
-        .unwrap_or(0);
     let (mut at, mut operation, mut all) = (0.0f64, 0, Vec::new());
     loop {
         let busiest = rate * day.times_most();
@@ -144,53 +217,23 @@
             continue;
         }
         operation += 1;
-        let mut class = place(&mut chance, &shares);
-        let mut zones = day.zone_shares.clone();
-        let mut slice = place(&mut chance, &sizes);
-        let mut key = keys.sample(&mut chance) as u64 + (slice as u64) * day.keys as u64;
-        let mut times = 1.0;
-        let (mut patience, mut comes_back) = (1.0, false);
-        for trouble in &day.troubles {
-            let luck = chance.random::<f64>();
-            let begun = ((at - trouble.at) / trouble.long.max(0.001)).clamp(0.0, 1.0);
-            let is_on = trouble.at <= at && at < trouble.at + trouble.long;
-            match &trouble.act {
-                Act::HotKey { share, keys: hot } if is_on && luck < *share => {
-                    let which = (luck / share * *hot as f64) as usize;
-                    slice = (which * 7 + 3) % sizes.len();
-                    key = u64::MAX / 2 + which as u64;
-                }
-                Act::Heavy { share, times: heavier } if is_on && luck < *share => times *= heavier,
-                Act::Shift { share, how: ShiftHow::Zone(zone) } => {
-                    let moved = share * begun;
-                    zones.iter_mut().enumerate().for_each(|(n, part)| {
-                        *part = *part * (1.0 - moved) + if n == *zone as usize { moved } else { 0.0 };
-                    });
-                }
-                Act::Shift { share, how: ShiftHow::Mix } if luck < share * begun => class = heaviest,
-                Act::GiveUp { share, patience: left, how } if is_on && luck < *share => {
-                    patience = (left * day.classes[class].facts.contract_time
-                        / day.classes[class].facts.hard_stop)
-                        .min(1.0);
-                    comes_back = *how == GiveUpHow::Leave;
-                }
-                _ => {}
-            }
-        }
-        let zone = place(&mut chance, &zones);
-        let inside = |n: &usize| n % day.zones.len() == zone;
-        let weights: Vec<f64> = (proxies.iter().enumerate())
-            .map(|(n, weight)| if inside(&n) || day.proxies < day.zones.len() { *weight } else { 0.0 })
-            .collect();
-        let script = &day.classes[class];
+        let class = place(&mut chance, &shares);
+        let zones = day.zone_shares.clone();
+        let slice = place(&mut chance, &sizes);
+        let key = keys.sample(&mut chance) as u64 + (slice as u64) * day.keys as u64;
+        let mut coming = Coming { class, slice, key, times: 1.0, patience: 1.0, comes_back: false, zones };
+        coming.trouble(day, at, sizes.len(), &mut chance);
+        let zone = place(&mut chance, &coming.zones);
+        let weights = proxies_of(day, &proxies, zone);
+        let script = &day.classes[coming.class];
         let drawn = Drawn {
             operation,
-            class: class as u32,
-            key,
-            slice: slice as u32,
-            work: times * spread(&mut chance, script.work, script.spread),
-            patience,
-            comes_back,
+            class: coming.class as u32,
+            key: coming.key,
+            slice: coming.slice as u32,
+            work: coming.times * spread(&mut chance, script.work, script.spread),
+            patience: coming.patience,
+            comes_back: coming.comes_back,
         };
         all.push(Arrival { at, proxy: place(&mut chance, &weights), drawn });
     }
--- a/crates/railhub-day/src/lib.rs
+++ b/crates/railhub-day/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod draw;
 pub mod import;
 pub mod play;
+pub mod replay;
 pub mod report;
 pub mod script;
 pub mod troubles;
--- a/crates/railhub-day/src/script.rs
+++ b/crates/railhub-day/src/script.rs
@@ -1,11 +1,14 @@
 //! A day as its file tells it.
+use crate::replay;
 use crate::troubles::{self, Trouble};
 use railhub_ini::{Complaint, Section, Sheet};
 use railhub_record::{ClassLimits, Limits, Repeats};
 use railhub_standin::client::ClientFacts;
 use railhub_standin::held::Pick;
 use railhub_standin::ClassFacts;
+use railhub_traffic::Traffic;
 use std::path::Path;
+use std::sync::Arc;
 
 #[derive(Clone, Debug)]
 pub struct ClassScript {
@@ -50,6 +53,8 @@
     pub load: f64,
     pub shape: Vec<(f64, f64)>,
     pub keys: usize,
+    /// Operations as they were recorded, in place of drawn ones.
+    pub replay: Option<Arc<Traffic>>,
     pub classes: Vec<ClassScript>,
     pub clients: ClientFacts,
     pub roster_add: f64,
@@ -68,10 +73,15 @@
 
 impl Day {
     pub fn open(path: &Path) -> Result<Day, Complaint> {
-        Day::read(&Sheet::open(path)?)
+        Day::read_beside(&Sheet::open(path)?, path.parent().unwrap_or(Path::new(".")))
     }
 
     pub fn read(sheet: &Sheet) -> Result<Day, Complaint> {
+        Day::read_beside(sheet, Path::new("."))
+    }
+
+    /// Files that the day names lie in `folder`.
+    pub fn read_beside(sheet: &Sheet, folder: &Path) -> Result<Day, Complaint> {
         let named = |prefix: &'static str| move |name: &String| name.starts_with(prefix);
         sheet.only(|name| {
             let plain = ["day", "fleet", "load", "clients", "roster", "reports", "channel", "rules"];
@@ -102,6 +112,7 @@
             names => names,
         };
         let slices = fleet.within("slices", 0.0, 0.0, 60_000.0)? as u32;
+        let replay = replay::read(&load, folder, &zones, &classes)?;
         let script = Day {
             name: day.or("name", "unnamed".to_owned())?,
             seed: day.or("seed", 1)?,
@@ -120,7 +131,8 @@
                 other => return Err(fleet.wrong("pick", format!("cannot be '{other}': two or weighted"))),
             },
             slice_spread: fleet.within("slice_spread", 0.6, 0.0, 5.0)?,
-            load: load.need_within("share", 0.01, 3.0)?,
+            load: if replay.is_some() { 0.0 } else { load.need_within("share", 0.01, 3.0)? },
+            replay,
             shape: shape(&load)?,
             keys: load.within("keys", 2000.0, 1.0, 1e6)? as usize,
             clients: ClientFacts {
@@ -138,7 +150,11 @@
             connect_within: fleet.within("connect_within", 0.25, 0.01, 60.0)?,
             hold: rules.within("hold", 0.2, 0.0, 60.0)?,
             first_wait: rules.within("first_wait", 1.0, 0.0, 100.0)?,
-            limits: limits(&rules, &classes, slices)?,
+            limits: Limits {
+                zones: zones.clone(),
+                proxies: fleet.or("proxies", 1)?,
+                ..limits(&rules, &classes, slices)?
+            },
             troubles: Vec::new(),
             zones,
             kinds,
@@ -259,6 +275,8 @@
         messages_span: rules.within("messages_span", 10.0, 0.1, 3600.0)?,
         from: 0.0,
         until: 0.0,
+        zones: Vec::new(),
+        proxies: 0,
     })
 }
 
--- a/crates/railhub-experiment/src/trial.rs
+++ b/crates/railhub-experiment/src/trial.rs
@@ -46,7 +46,7 @@
 
 fn run_one(day: &Day, experiment: &Experiment, arm: usize, seed: u64) -> Result<RunFigures, String> {
     let day = Day { seed, ..day.clone() };
-    let events = run(&day, experiment.arms[arm].policy, Physics::default())?;
+    let events = run(&day, &experiment.arms[arm].policy, Physics::default())?;
     let limits = limits(&events).ok_or("a run without limits")?;
     let service = service(&events, limits);
     let broken = judge(&events)?.into_iter().filter(|verdict| !verdict.kept).map(|verdict| verdict.rule);
--- a/crates/railhub-fleet/src/baseline.rs
+++ b/crates/railhub-fleet/src/baseline.rs
@@ -1,9 +1,21 @@
-//! What plain policies publish, for comparing: they go by the list alone.
+//! What plain policies publish, for comparing: they go by the list, one of them by sums as well.
 use crate::list::Line;
-use railhub::{HostId, Phase, SliceId};
+use railhub::{Charge, HostId, Phase, SliceId};
+use railhub_proto::Sums;
 use railhub_steward::tables::{Change, Tables};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Seconds between looks at the sums.
+const LOOK: f64 = 1.0;
+/// Seconds after which a time that was met counts for 1/e: as long as a few looks, so that one slow report
+/// does not empty a host.
+const MEMORY: f64 = 5.0;
+/// Good tries below which a host counts as unknown, and gets the median.
+const KNOWN_BY: f64 = 1.0;
+/// Weights are kept to one part in so many: a change below it is not worth a message.
+const STEPS: f64 = 10.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Baseline {
@@ -11,21 +23,99 @@
     Hash,
     /// Each slice on all hosts, by their weights.
     Even,
+    /// All operations on all hosts, each by the inverse of the time that tries took there of late.
+    Latency,
 }
 
-/// All tables as the policy wants them for these hosts.
-pub fn wanted(
+/// Decaying sums of good tries at a host and the time they took.
+#[derive(Clone, Copy, Default)]
+struct Met {
+    tries: f64,
+    time: f64,
+    at: f64,
+}
+
+/// A plain policy at work.
+pub struct Plain {
     policy: Baseline,
     slices: u32,
-    told: &BTreeMap<SocketAddr, Line>,
-) -> Vec<Vec<(SocketAddr, f64)>> {
+    tables: Tables,
+    met: BTreeMap<SocketAddr, Met>,
+}
+
+type Wanted = Vec<Vec<(SocketAddr, f64)>>;
+
+impl Plain {
+    pub fn new(policy: Baseline, slices: u32) -> Plain {
+        Plain { policy, slices, tables: Tables::default(), met: BTreeMap::new() }
+    }
+
+    /// Seconds until it looks at its sums, if it goes by them.
+    pub fn wakes(&self) -> Option<f64> {
+        (self.policy == Baseline::Latency).then_some(LOOK)
+    }
+
+    pub fn hear_charges(&mut self, charges: &[Charge]) {
+        if self.policy != Baseline::Latency {
+            charges.iter().for_each(|charge| self.tables.take_stored(charge.slice, &charge.lines));
+        }
+    }
+
+    pub fn hear_sums(&mut self, now: f64, all: impl Iterator<Item = Box<Sums>>) {
+        for sum in all.flat_map(|sums| sums.hosts) {
+            let Ok(host) = sum.host.parse() else { continue };
+            let met = self.met.entry(host).or_default();
+            let left = (-(now - met.at) / MEMORY).exp();
+            let good = f64::from(sum.tries.saturating_sub(sum.failed));
+            (met.tries, met.time, met.at) = (met.tries * left + good, met.time * left + sum.good_time, now);
+        }
+    }
+
+    /// What it wants changed, and the version that this makes; none if all is as it wants.
+    pub fn changes(&mut self, told: &BTreeMap<SocketAddr, Line>) -> Option<(Arc<Change>, u64)> {
+        let wanted = match self.policy {
+            Baseline::Latency => vec![self.by_latency(told)],
+            policy => wanted(policy, self.slices, told),
+        };
+        let change = Arc::new(change(&self.tables, &wanted));
+        (!change.is_empty()).then(|| (change.clone(), self.tables.apply(change)))
+    }
+
+    /// All that a proxy needs which has just come.
+    pub fn whole(&self) -> (Change, u64) {
+        let mut whole = self.tables.whole();
+        if self.policy == Baseline::Latency {
+            whole.handed = Some(SliceId(0));
+        }
+        (whole, self.tables.version)
+    }
+
+    fn by_latency(&self, told: &BTreeMap<SocketAddr, Line>) -> Vec<(SocketAddr, f64)> {
+        let ready = told.iter().filter(|(_, line)| line.phase == Phase::Ready).map(|(host, _)| *host);
+        let time = |host: &SocketAddr| {
+            self.met.get(host).filter(|met| met.tries >= KNOWN_BY).map(|met| met.time / met.tries)
+        };
+        let hosts: Vec<SocketAddr> = ready.collect();
+        let mut known: Vec<f64> = hosts.iter().filter_map(time).collect();
+        known.sort_by(f64::total_cmp);
+        let median = known.get(known.len() / 2).copied().unwrap_or(1.0).max(1e-6);
+        let weight = |host: &SocketAddr| {
+            let part = median / time(host).unwrap_or(median).max(1e-6);
+            ((part * STEPS).round() / STEPS).clamp(1.0 / STEPS, STEPS)
+        };
+        hosts.iter().map(|host| (*host, weight(host))).collect()
+    }
+}
+
+/// All tables as the policy wants them for these hosts.
+fn wanted(policy: Baseline, slices: u32, told: &BTreeMap<SocketAddr, Line>) -> Wanted {
     let ready: Vec<(SocketAddr, f64)> = told
         .iter()
         .filter(|(_, line)| line.phase == Phase::Ready)
         .map(|(host, line)| (*host, line.weight))
         .collect();
     let one = |slice: u32| match policy {
-        Baseline::Even => ready.clone(),
+        Baseline::Even | Baseline::Latency => ready.clone(),
         Baseline::Hash => {
             let best = ready.iter().max_by(|a, b| score(slice, a).total_cmp(&score(slice, b)));
             best.map(|(host, _)| (*host, 1.0)).into_iter().collect()
@@ -43,7 +133,7 @@
 }
 
 /// What must change for that.
-pub fn change(tables: &Tables, wanted: &[Vec<(SocketAddr, f64)>]) -> Change {
+fn change(tables: &Tables, wanted: &[Vec<(SocketAddr, f64)>]) -> Change {
     let mut change = Change::default();
     for (slice, lines) in wanted.iter().enumerate() {
         let slice = SliceId(slice as u16);
@@ -59,3 +149,32 @@
     }
     change
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use railhub_proto::HostSum;
+
+    #[test]
+    fn a_host_that_answers_twice_as_late_gets_half_and_an_unknown_one_the_median() {
+        let mut plain = Plain::new(Baseline::Latency, 8);
+        let host = |n: u16| SocketAddr::from(([127, 0, 0, 1], n));
+        let line = Line { phase: Phase::Ready, started: None, weight: 1.0, kind: 0 };
+        let told = (1..=4).map(|n| (host(n), line)).collect();
+        let sum = |n: u16, time: f64| HostSum {
+            host: host(n).to_string(),
+            tries: 10,
+            failed: 0,
+            good_time: 10.0 * time,
+            busy: None,
+        };
+        let hosts = vec![sum(1, 0.2), sum(2, 0.1), sum(3, 0.1)];
+        let sums = Box::new(Sums { span: 1.0, hosts, demand: Vec::new() });
+        plain.hear_sums(1.0, [sums].into_iter());
+        let (change, _) = plain.changes(&told).expect("all is new");
+        let weights: Vec<f64> = change.lines.values().copied().collect();
+        assert_eq!(weights, [0.5, 1.0, 1.0, 1.0]);
+        assert!(plain.changes(&told).is_none(), "it is as wanted");
+        assert_eq!(plain.whole().0.handed, Some(SliceId(0)), "one table for all slices");
+    }
+}
--- a/crates/railhub-fleet/src/operations.rs
+++ b/crates/railhub-fleet/src/operations.rs
@@ -327,6 +327,9 @@
             began: op.began,
             outcome: outcome.into(),
             comings: op.comings,
+            key: op.drawn.key,
+            work: op.drawn.work,
+            proxy: op.proxy as u32,
         };
         self.under_way -= 1;
         self.note(What::Operation(end));
--- a/crates/railhub-fleet/src/steward.rs
+++ b/crates/railhub-fleet/src/steward.rs
@@ -1,5 +1,5 @@
 //! The steward in the model: its own kernel, with gates that the model empties at the channel's pace.
-use crate::baseline::{self, Baseline};
+use crate::baseline::Plain;
 use crate::events::{Due, HostAt, ProxyAt};
 use crate::list::{to_list, to_record};
 use crate::world::{Policy, World};
@@ -9,7 +9,8 @@
 use railhub_steward::inbox::StreamId;
 use railhub_steward::kernel::{Gate, Kernel, Surroundings};
 use railhub_steward::outbox::{MessageCap, Next, Outbox, Publication};
-use railhub_steward::tables::{Change, Tables};
+use railhub_steward::tables::Change;
+use railhub_versions::Version;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -85,7 +86,7 @@
 /// Who steers: the kernel, or a plain policy that goes by the list.
 enum Mind {
     Kernel(Box<Kernel<ModelGate>>),
-    Baseline(Baseline, Tables),
+    Plain(Box<Plain>),
 }
 
 pub struct Steward {
@@ -103,10 +104,27 @@
         }
         self.incarnation += 1;
         let now = self.agenda.now;
-        let mind = match self.policy {
-            Policy::Baseline(policy) => Mind::Baseline(policy, Tables::default()),
-            _ => Mind::Kernel(Box::new(Kernel::new(self.installation.clone(), self.incarnation, now))),
+        let (installation, incarnation) = (self.installation.clone(), self.incarnation);
+        let mind = match &self.policy {
+            Policy::Baseline(policy) => Mind::Plain(Box::new(Plain::new(*policy, self.day.slices))),
+            Policy::Version(program) => {
+                match Version::start(program, &installation.terms, self.day.zones.len()) {
+                    Ok((version, fault)) => {
+                        self.faults.push(fault);
+                        let version = Box::new(version);
+                        Mind::Kernel(Box::new(Kernel::led_by(version, installation, incarnation, now)))
+                    }
+                    Err(fault) => {
+                        self.faults.push(Arc::new(std::sync::Mutex::new(Some(fault))));
+                        return;
+                    }
+                }
+            }
+            _ => Mind::Kernel(Box::new(Kernel::new(installation, incarnation, now))),
         };
+        if let Mind::Plain(plain) = &mind {
+            plain.wakes().into_iter().for_each(|after| self.agenda.after(after, Due::StewardWakes));
+        }
         let (incarnation, gates) = (self.incarnation, vec![None; self.proxies.len()]);
         self.steward = Some(Steward { mind, incarnation, gates, sums: Vec::new(), wakes_at: f64::INFINITY });
         self.note(What::StewardLife(StewardLife { up: true }));
@@ -144,9 +162,7 @@
         let charges: Vec<Charge> = tables.collect();
         match self.steward.as_mut().map(|steward| &mut steward.mind) {
             Some(Mind::Kernel(kernel)) => kernel.hear_charges(charges),
-            Some(Mind::Baseline(_, tables)) => {
-                charges.iter().for_each(|charge| tables.take_stored(charge.slice, &charge.lines));
-            }
+            Some(Mind::Plain(plain)) => plain.hear_charges(&charges),
             None => {}
         }
     }
@@ -184,23 +200,40 @@
         let list = to_list(whole, lines);
         match self.steward.as_mut().map(|steward| &mut steward.mind) {
             Some(Mind::Kernel(kernel)) => kernel.hear_list(list),
-            Some(Mind::Baseline(policy, tables)) => {
-                let wanted = baseline::wanted(*policy, self.day.slices, &self.known);
-                let change = baseline::change(tables, &wanted);
-                if !change.is_empty() {
-                    let change = Arc::new(change);
-                    let version = tables.apply(change.clone());
-                    let (incarnation, now) = (self.incarnation, self.agenda.now);
-                    let publication = Arc::new(Publication::new(change, incarnation, version, now, None));
-                    let gates = self.steward.iter().flat_map(|steward| steward.gates.iter().flatten());
-                    gates.for_each(|(_, gate)| gate.push(publication.clone()));
-                }
-            }
+            Some(Mind::Plain(_)) => self.plain_acts(),
             None => {}
         }
         self.steward_acts();
     }
 
+    /// A plain policy publishes what it wants changed.
+    fn plain_acts(&mut self) {
+        let (incarnation, now) = (self.incarnation, self.agenda.now);
+        let Some(steward) = self.steward.as_mut() else { return };
+        let Mind::Plain(plain) = &mut steward.mind else { return };
+        let Some((change, version)) = plain.changes(&self.known) else { return };
+        let publication = Arc::new(Publication::new(change, incarnation, version, now, None));
+        steward.gates.iter().flatten().for_each(|(_, gate)| gate.push(publication.clone()));
+    }
+
+    /// A plain policy that goes by sums looks at them.
+    fn plain_wakes(&mut self) {
+        let now = self.agenda.now;
+        let Some(steward) = self.steward.as_mut() else { return };
+        let Mind::Plain(plain) = &mut steward.mind else { return };
+        plain.hear_sums(now, steward.sums.drain(..).map(|(_, _, sums)| sums));
+        plain.wakes().into_iter().for_each(|after| self.agenda.after(after, Due::StewardWakes));
+        self.plain_acts();
+        self.steward_acts();
+    }
+
+    pub fn steward_wakes(&mut self) {
+        match self.steward.as_ref().map(|steward| &steward.mind) {
+            Some(Mind::Plain(_)) => self.plain_wakes(),
+            _ => self.steward_acts(),
+        }
+    }
+
     /// Lets the kernel act on what it has heard, and carries out what it asks for.
     pub fn steward_acts(&mut self) {
         let now = self.agenda.now;
@@ -293,8 +326,8 @@
         let subscribe = Subscribe { proxy: proxy as u32, zone, process, incarnation: held_by, version };
         match &mut steward.mind {
             Mind::Kernel(kernel) => kernel.join(now, stream, subscribe, gate, &mut Asked::default()),
-            Mind::Baseline(_, tables) => {
-                let (whole, version) = (tables.whole(), tables.version);
+            Mind::Plain(plain) => {
+                let (whole, version) = plain.whole();
                 gate.push(Arc::new(Publication::new(whole, steward.incarnation, version, now, None)));
             }
         }
@@ -349,7 +382,7 @@
                 kernel.let_in(now);
                 kernel.act(now, || now, &mut Asked::default());
             }
-            Mind::Baseline(..) => {
+            Mind::Plain(_) => {
                 if let Some((_, gate)) = steward.gates[proxy].as_ref().filter(|gate| gate.0 == stream) {
                     gate.settle(nonce, refused);
                 }
--- a/crates/railhub-fleet/src/world.rs
+++ b/crates/railhub-fleet/src/world.rs
@@ -18,25 +18,31 @@
 use railhub_standin::ClassFacts;
 use railhub_steward::inbox::StreamId;
 use railhub_steward::Installation;
+use railhub_versions::process::FaultPlace;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Seconds between the opening of the fleet and the first operation, as the stand-ins have.
 const JOIN_WITHIN: f64 = 2.0;
 /// Seconds the fleet runs on after the last operation has ended.
 const RUN_ON: f64 = 1.0;
+/// Spreads a small number over all bits, so that no luck is near another.
+const LUCK_MIX: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Ports of the model's hosts begin here: they are names, nothing listens.
 const FIRST_PORT: u16 = 10_000;
 
 /// Who steers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Policy {
     Steward,
     /// Tables stay as they were at the start.
     Fixed,
     Baseline(Baseline),
+    /// Another version of the decisions: a program that speaks the adapter's protocol.
+    Version(PathBuf),
 }
 
 /// What a machine adds to what a script says; a loopback record tells it. Seconds.
@@ -105,24 +111,37 @@
     pub taken: BTreeSet<HostAt>,
     /// Whom each trouble struck.
     pub struck: Vec<Vec<HostAt>>,
+    /// What went wrong with a version, if one steers.
+    pub faults: Vec<FaultPlace>,
     events: Vec<Event>,
 }
 
 /// Runs a day to its end; the record of it.
-pub fn run(day: &Day, policy: Policy, physics: Physics) -> Result<Vec<Event>, String> {
+pub fn run(day: &Day, policy: &Policy, physics: Physics) -> Result<Vec<Event>, String> {
+    run_with_luck(day, policy, physics, 0)
+}
+
+/// The same day with other luck: the same hosts, operations and troubles, other picks of the proxies and other
+/// moments of their reports. What differs between two lucks is what two loopback runs of a day differ by.
+pub fn run_with_luck(day: &Day, policy: &Policy, physics: Physics, luck: u64) -> Result<Vec<Event>, String> {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let sheet = Sheet::read("the steward's settings", &steward_file(day, nowhere, nowhere));
     let installation = sheet.and_then(|sheet| Installation::read(&sheet)).map_err(|e| e.to_string())?;
-    let mut world = World::new(day, policy, physics, installation);
+    let mut world = World::new(day, policy.clone(), physics, installation, luck);
     world.open();
     world.play();
+    for place in &world.faults {
+        if let Some(fault) = place.lock().expect("no holder panics").take() {
+            return Err(fault.to_string());
+        }
+    }
     let mut events = world.events;
     events.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(events)
 }
 
 impl World<'_> {
-    fn new(day: &Day, policy: Policy, physics: Physics, installation: Installation) -> World<'_> {
+    fn new(day: &Day, policy: Policy, physics: Physics, installation: Installation, luck: u64) -> World<'_> {
         let facts = draw::hosts(day, day.hosts, "hosts");
         let proxies = (0..day.proxies).map(|n| {
             let facts = proxy_facts(day, n);
@@ -130,7 +149,7 @@
                 zone: facts.zone,
                 held: Held::default(),
                 totals: Totals::new(0.0),
-                chance: ChaCha8Rng::seed_from_u64(facts.seed),
+                chance: ChaCha8Rng::seed_from_u64(facts.seed ^ luck.wrapping_mul(LUCK_MIX)),
                 out: BTreeMap::new(),
                 stream: None,
                 refuses_next: false,
@@ -167,6 +186,7 @@
             slow_links: BTreeSet::new(),
             taken: BTreeSet::new(),
             struck: vec![Vec::new(); day.troubles.len()],
+            faults: Vec::new(),
             events: Vec::new(),
         };
         world.under_way = world.arrivals.len();
@@ -272,7 +292,7 @@
             Due::ProbeEnds(host, end) => self.probe_ends(host, end),
             Due::ListTells => self.list_tells(),
             Due::ListLearns(host, phase) => self.list_learns(host, phase),
-            Due::StewardWakes => self.steward_acts(),
+            Due::StewardWakes => self.steward_wakes(),
             Due::StewardStarts => self.start_steward(),
             Due::TroubleOn(number) => self.trouble_on(number),
             Due::TroubleOff(number) => self.trouble_off(number),
--- a/crates/railhub-fleet/tests/days.rs
+++ b/crates/railhub-fleet/tests/days.rs
@@ -12,7 +12,7 @@
     Day::open(&path).expect("a good script")
 }
 
-fn play(day: &Day, policy: Policy) -> Vec<Event> {
+fn play(day: &Day, policy: &Policy) -> Vec<Event> {
     run(day, policy, Physics::default()).expect("it runs")
 }
 
@@ -25,7 +25,7 @@
     let bytes =
         |events: Vec<Event>| events.iter().flat_map(|event| event.encode_to_vec()).collect::<Vec<u8>>();
     let day = day("short.ini");
-    assert_eq!(bytes(play(&day, Policy::Steward)), bytes(play(&day, Policy::Steward)));
+    assert_eq!(bytes(play(&day, &Policy::Steward)), bytes(play(&day, &Policy::Steward)));
 }
 
 #[test]
@@ -33,7 +33,7 @@
     for name in ["short.ini", "short-weights.ini", "first-bad-day.ini"] {
         for seed in 1..=10 {
             let day = Day { seed, ..day(name) };
-            let events = play(&day, Policy::Steward);
+            let events = play(&day, &Policy::Steward);
             let broken: Vec<_> = judge(&events).expect("a record").into_iter().filter(|v| !v.kept).collect();
             assert!(broken.is_empty(), "{name}, seed {seed}: {broken:?}");
         }
@@ -44,7 +44,7 @@
 fn every_operation_that_was_drawn_has_an_end() {
     let day = day("first-bad-day.ini");
     for policy in [Policy::Steward, Policy::Fixed, Policy::Baseline(Baseline::Even)] {
-        let events = play(&day, policy);
+        let events = play(&day, &policy);
         let ends = events.iter().filter(|event| matches!(event.what, Some(What::Operation(_)))).count();
         let facts = railhub_day::draw::hosts(&day, day.hosts, "hosts");
         let drawn = railhub_day::draw::arrivals(&day, railhub_day::draw::capacity(&facts)).len();
@@ -55,9 +55,9 @@
 #[test]
 fn the_steward_serves_a_bad_day_better_than_plain_policies() {
     let day = day("first-bad-day.ini");
-    let steward = served(&play(&day, Policy::Steward));
+    let steward = served(&play(&day, &Policy::Steward));
     for plain in [Policy::Fixed, Policy::Baseline(Baseline::Hash)] {
-        let other = served(&play(&day, plain));
+        let other = served(&play(&day, &plain));
         assert!(steward > other + 0.02, "{steward} against {other} of {plain:?}");
     }
 }
--- a/crates/railhub-record/src/events.rs
+++ b/crates/railhub-record/src/events.rs
@@ -76,6 +76,10 @@
     pub from: f64,
     #[prost(double, tag = "16")]
     pub until: f64,
+    #[prost(string, repeated, tag = "17")]
+    pub zones: Vec<String>,
+    #[prost(uint32, tag = "18")]
+    pub proxies: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -259,6 +263,13 @@
     pub outcome: i32,
     #[prost(uint32, tag = "7")]
     pub comings: u32,
+    #[prost(uint64, tag = "8")]
+    pub key: u64,
+    /// Core seconds at speed 1.
+    #[prost(double, tag = "9")]
+    pub work: f64,
+    #[prost(uint32, tag = "10")]
+    pub proxy: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
--- a/crates/railhub-record/src/file.rs
+++ b/crates/railhub-record/src/file.rs
@@ -124,6 +124,29 @@
     read_bytes(&name, &bytes)
 }
 
+/// The events before the place where a file was cut off, and whether it was.
+pub fn read_part(path: &Path) -> Result<(Vec<Event>, bool), RecordFault> {
+    let name = path.display().to_string();
+    let bytes = std::fs::read(path).map_err(|e| RecordFault::File(name.clone(), e))?;
+    let good = whole_blocks(&name, &bytes)?;
+    Ok((read_bytes(&name, &bytes[..good])?, good < bytes.len()))
+}
+
+/// How many bytes of a record that may still grow are whole blocks.
+pub fn whole_blocks(name: &str, bytes: &[u8]) -> Result<usize, RecordFault> {
+    let mut rest = bytes.strip_prefix(MAGIC).ok_or_else(|| RecordFault::Foreign(name.to_owned()))?;
+    let mut good = MAGIC.len();
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let block = 8 + u32::from_le_bytes(*length) as usize;
+        if after.len() + 4 < block {
+            break;
+        }
+        good += block;
+        rest = &rest[block..];
+    }
+    Ok(good)
+}
+
 pub fn read_bytes(name: &str, bytes: &[u8]) -> Result<Vec<Event>, RecordFault> {
     let mut rest = bytes.strip_prefix(MAGIC).ok_or_else(|| RecordFault::Foreign(name.to_owned()))?;
     let mut events = Vec::new();
@@ -170,6 +193,9 @@
         std::fs::remove_file(&path).expect("there");
         let events = read_bytes("r", &bytes).expect("whole");
         assert_eq!(events.iter().map(|event| event.at).collect::<Vec<_>>(), [1.0, 2.0]);
+        let cut = whole_blocks("r", &bytes[..bytes.len() - 1]).expect("ours");
+        assert_eq!(read_bytes("r", &bytes[..cut]).expect("whole blocks").len(), 1);
+        assert_eq!(whole_blocks("r", &bytes).expect("ours"), bytes.len());
         let last = bytes.len() - 1;
         assert!(matches!(read_bytes("r", &bytes[..last]), Err(RecordFault::Damaged { number: 2, .. })));
         bytes[last] ^= 1;
--- a/crates/railhub-standin/src/client.rs
+++ b/crates/railhub-standin/src/client.rs
@@ -67,6 +67,9 @@
         began,
         outcome: outcome.into(),
         comings,
+        key: drawn.key,
+        work: drawn.work,
+        proxy: proxy.facts.number,
     };
     recorder.note(now(), What::Operation(end));
 }
--- a/crates/railhub-steward/src/installation.rs
+++ b/crates/railhub-steward/src/installation.rs
@@ -2,7 +2,7 @@
 use railhub::{ClassTerms, Repeat, Seconds, Terms};
 use railhub_ini::{Complaint, Section, Sheet};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Largest number of streams unless the file says otherwise.
 const STREAMS_MOST: usize = 10_000;
@@ -24,6 +24,8 @@
     pub first_within: Seconds,
     pub silent_after: Seconds,
     pub streams_most: usize,
+    /// Where the operations that sums tell of are written, if anywhere.
+    pub traffic: Option<PathBuf>,
 }
 
 impl Installation {
@@ -58,6 +60,7 @@
             stuck_after: limits.within("stuck_after", 10.0, 0.1, 3600.0)?,
             first_within: limits.within("first_within", 5.0, 0.01, 3600.0)?,
             silent_after: limits.within("silent_after", 10.0, 0.1, 3600.0)?,
+            traffic: steward.text("traffic").map(PathBuf::from),
             streams_most: limits.within("streams_most", STREAMS_MOST as f64, 1.0, 65_535.0)? as usize,
         };
         if (installation.terms.slices > 0) != installation.store.is_some() {
--- a/crates/railhub-steward/src/kernel.rs
+++ b/crates/railhub-steward/src/kernel.rs
@@ -2,6 +2,7 @@
 //! joined, what each proxy owes. The running steward and the model of a fleet drive the same kernel; each passes
 //! in the time, a [`Gate`] for each proxy and the [`Surroundings`].
 use crate::claims::{claim, Claim};
+use crate::decides::Decides;
 use crate::draft::Draft;
 use crate::inbox::StreamId;
 use crate::installation::Installation;
@@ -57,6 +58,8 @@
     pub folded: u64,
     pub sums_dropped: u64,
     pub probes_dropped: u64,
+    /// Reports that did not get into the traffic file.
+    pub traffic_dropped: u64,
     /// How late turns were: half of them, 99 of 100, the latest.
     pub late_half: Seconds,
     pub late_99: Seconds,
@@ -81,7 +84,7 @@
 
 pub struct Kernel<G> {
     installation: Installation,
-    brain: Steward,
+    brain: Box<dyn Decides + Send>,
     tables: Tables,
     /// This process; a version is of one of them.
     incarnation: u64,
@@ -108,9 +111,20 @@
 impl<G: Gate> Kernel<G> {
     /// `incarnation`: tells this process from every other one.
     pub fn new(installation: Installation, incarnation: u64, now: Seconds) -> Kernel<G> {
+        let brain = Box::new(Steward::new(installation.terms.clone()));
+        Kernel::led_by(brain, installation, incarnation, now)
+    }
+
+    /// With decisions that come from elsewhere than the module in this program.
+    pub fn led_by(
+        brain: Box<dyn Decides + Send>,
+        installation: Installation,
+        incarnation: u64,
+        now: Seconds,
+    ) -> Kernel<G> {
         let times = || Histogram::new(3).expect("three digits are allowed");
         Kernel {
-            brain: Steward::new(installation.terms.clone()),
+            brain,
             charged: installation.terms.slices == 0,
             tables: Tables::default(),
             incarnation,
--- a/crates/railhub-steward/src/lib.rs
+++ b/crates/railhub-steward/src/lib.rs
@@ -17,6 +17,7 @@
 //! The way of one failure: a stream that breaks, is silent, sends what is no message, or does not confirm for
 //! too long ends alone, with a reason sent and logged. The owner tells the decisions that the proxy left.
 pub mod claims;
+pub mod decides;
 pub mod draft;
 pub mod inbox;
 pub mod installation;
@@ -31,6 +32,7 @@
 mod store;
 mod streams;
 pub mod tables;
+pub mod traffic;
 
 pub use installation::Installation;
 pub use kernel::Figures;
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -6,6 +6,7 @@
 use crate::store::StoreWriter;
 use crate::streams::Door;
 use crate::tables::Change;
+use crate::traffic::TrafficWriter;
 use railhub::{HostId, Phase, ProxyId, Seconds, SliceId};
 use railhub_net::{now, seconds};
 use std::sync::atomic::Ordering;
@@ -28,20 +29,26 @@
     shown: Arc<Mutex<Figures>>,
 }
 
+/// Where an owner's orders go besides the proxies.
+pub struct Outlets {
+    pub probes: Probes,
+    pub store: Option<StoreWriter>,
+    pub traffic: Option<TrafficWriter>,
+}
+
 /// What the kernel asks of the rest of the process.
 struct Around {
     class_names: Vec<String>,
-    probes: Probes,
-    store: Option<StoreWriter>,
+    outlets: Outlets,
 }
 
 impl Surroundings for Around {
     fn probe(&mut self, host: HostId) {
-        self.probes.ask(host);
+        self.outlets.probes.ask(host);
     }
 
     fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>) {
-        if let Some(store) = &self.store {
+        if let Some(store) = &self.outlets.store {
             store.put(slice, lines);
         }
     }
@@ -72,12 +79,11 @@
     pub fn new(
         installation: Installation,
         inbox: Arc<Inbox>,
-        probes: Probes,
-        store: Option<StoreWriter>,
+        outlets: Outlets,
         shown: Arc<Mutex<Figures>>,
     ) -> Owner {
         let now = now();
-        let around = Around { class_names: installation.class_names.clone(), probes, store };
+        let around = Around { class_names: installation.class_names.clone(), outlets };
         let kernel = Kernel::new(installation, (now * 1e9) as u64, now);
         Owner { kernel, around, inbox, only_acks: false, shown }
     }
@@ -149,12 +155,17 @@
 
     fn take_sums(&mut self) {
         while let Some(report) = self.inbox.next_report() {
+            if let Some(traffic) = &mut self.around.outlets.traffic {
+                traffic.take(now(), report.proxy, report.zone, &report.sums);
+            }
             self.kernel.take_sums(report.stream, report.proxy, report.zone, &report.sums);
         }
         self.kernel.flush_sums(now());
         let mut figures = self.kernel.figures();
         figures.sums_dropped += self.inbox.sums_dropped.load(Ordering::Relaxed);
-        figures.probes_dropped = self.around.probes.dropped();
+        figures.probes_dropped = self.around.outlets.probes.dropped();
+        let traffic = self.around.outlets.traffic.as_ref();
+        figures.traffic_dropped = traffic.map_or(0, |traffic| traffic.dropped);
         *self.shown.lock().expect("no holder panics") = figures;
     }
 }
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -3,12 +3,14 @@
 use crate::installation::Installation;
 use crate::kernel::Figures;
 use crate::outbox::MessageCap;
-use crate::owner::Owner;
+use crate::owner::{Outlets, Owner};
 use crate::probes::Probes;
 use crate::roster;
 use crate::store::StoreWriter;
 use crate::streams::{serve, Doors, StreamTerms};
-use railhub_net::{Listener, Task};
+use crate::traffic::TrafficWriter;
+use railhub_net::{now, Listener, Task};
+use railhub_traffic::file::TrafficFault;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -18,6 +20,8 @@
 pub enum StartFault {
     #[error("cannot listen on {0}: {1}")]
     Listen(SocketAddr, std::io::Error),
+    #[error("cannot write traffic: {0}")]
+    Traffic(#[from] TrafficFault),
 }
 
 /// A steward that runs; dropping it stops it.
@@ -32,6 +36,7 @@
 
 impl Running {
     pub fn start(installation: Installation) -> Result<Running, StartFault> {
+        let traffic = TrafficWriter::start(&installation, now())?;
         let inbox = Arc::new(Inbox::default());
         let shown = Arc::new(Mutex::new(Figures::default()));
         let streams = StreamTerms {
@@ -48,7 +53,8 @@
         let probes = Probes::start(installation.probes_at_once, installation.probe_within, &inbox);
         let store = installation.store.map(|store| StoreWriter::start(store, inbox.clone()));
         let roster = roster::follow(installation.roster, inbox.clone());
-        let owner = Owner::new(installation, inbox.clone(), probes, store, shown.clone());
+        let owner =
+            Owner::new(installation, inbox.clone(), Outlets { probes, store, traffic }, shown.clone());
         let owner = std::thread::spawn(move || owner.run());
         tracing::info!(address = %listener.address, "the steward listens");
         Ok(Running { address: listener.address, inbox, shown, owner: Some(owner), listener, _roster: roster })
--- /dev/null
+++ b/crates/railhub-steward/src/traffic.rs
@@ -0,0 +1,161 @@
+//! Writes down the operations that sums tell of. The owner of the decisions hands reports over and never waits
+//! for the disk: what does not fit the queue is counted and left out.
+use crate::installation::Installation;
+use railhub::{ProxyId, Seconds, ZoneId};
+use railhub_proto::Sums;
+use railhub_traffic::file::{TrafficFault, Writer};
+use railhub_traffic::{Facts, Row};
+use std::fs::File;
+use std::io::BufWriter;
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Reports that may wait for the disk: some seconds of 300 proxies.
+const WAITING: usize = 2048;
+/// A steward that is killed loses at most the rows of such a span.
+const FLUSH_EVERY: Duration = Duration::from_secs(1);
+/// Zones that a file can tell apart: a proxy names its own, whatever it is.
+const ZONES: usize = 256;
+
+type Rows = Vec<Row>;
+
+/// Ends its file when it is dropped.
+pub struct TrafficWriter {
+    to: Option<SyncSender<Rows>>,
+    writing: Option<JoinHandle<()>>,
+    began: Seconds,
+    classes: usize,
+    slices: u32,
+    pub dropped: u64,
+}
+
+impl TrafficWriter {
+    /// If the installation names a file; it is made at once, so that one that cannot be is told of at the start.
+    pub fn start(installation: &Installation, now: Seconds) -> Result<Option<TrafficWriter>, TrafficFault> {
+        let Some(path) = &installation.traffic else { return Ok(None) };
+        let slices = u32::from(installation.terms.slices);
+        let facts = Facts {
+            classes: installation.class_names.clone(),
+            zones: (0..ZONES).map(|zone| format!("zone-{zone}")).collect(),
+            slices,
+            // Who joins is not known yet.
+            proxies: 0,
+            length: 0.0,
+        };
+        let fault = |e| TrafficFault::File(path.display().to_string(), e);
+        let file = File::create(path).map_err(fault)?;
+        let writer = Writer::start(BufWriter::new(file), &facts).map_err(fault)?;
+        let (to, from) = sync_channel(WAITING);
+        let writing = std::thread::spawn(move || write(writer, &from));
+        let classes = facts.classes.len();
+        let (to, writing) = (Some(to), Some(writing));
+        Ok(Some(TrafficWriter { to, writing, began: now, classes, slices, dropped: 0 }))
+    }
+
+    pub fn take(&mut self, now: Seconds, proxy: ProxyId, zone: ZoneId, sums: &Sums) {
+        let at = (now - self.began).max(0.0);
+        let known = sums.demand.iter().filter(|sum| {
+            (sum.class as usize) < self.classes
+                && sum.slice < self.slices.max(1)
+                && sum.operations > 0
+                && usize::from(zone.0) < ZONES
+        });
+        let row = |sum: &railhub_proto::SliceSum| Row {
+            at,
+            class: sum.class,
+            slice: sum.slice,
+            zone: u32::from(zone.0),
+            proxy: u32::from(proxy.0),
+            key: None,
+            work: None,
+            count: sum.operations,
+            span: sums.span.clamp(0.0, at),
+        };
+        let rows: Rows = known.map(row).collect();
+        match self.to.as_ref().map(|to| to.try_send(rows)) {
+            Some(Ok(())) | None => {}
+            Some(Err(TrySendError::Full(_) | TrySendError::Disconnected(_))) => self.dropped += 1,
+        }
+    }
+}
+
+impl Drop for TrafficWriter {
+    fn drop(&mut self) {
+        self.to = None;
+        if let Some(writing) = self.writing.take() {
+            let _ = writing.join();
+        }
+    }
+}
+
+fn write(mut writer: Writer<BufWriter<File>>, from: &Receiver<Rows>) {
+    let (began, mut flushed) = (Instant::now(), Instant::now());
+    let written = loop {
+        let rows = match from.recv_timeout(FLUSH_EVERY) {
+            Ok(rows) => rows,
+            Err(RecvTimeoutError::Timeout) => Rows::new(),
+            Err(RecvTimeoutError::Disconnected) => {
+                break writer.finish(began.elapsed().as_secs_f64()).map(|_| ());
+            }
+        };
+        let mut put = rows.iter().try_for_each(|row| writer.put(row));
+        if flushed.elapsed() >= FLUSH_EVERY {
+            flushed = Instant::now();
+            put = put.and_then(|()| writer.flush());
+        }
+        if put.is_err() {
+            break put;
+        }
+    };
+    if let Err(error) = written {
+        tracing::error!(%error, "traffic is written no more");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use railhub_ini::Sheet;
+    use railhub_proto::SliceSum;
+    use railhub_traffic::file;
+
+    fn installation(path: &str) -> Installation {
+        let text = format!(
+            "[steward]\nroster = 127.0.0.1:1\nstore = 127.0.0.1:2\nslices = 4\ntraffic = {path}\n\
+             [class view]\ncontract_time = 1\n"
+        );
+        Installation::read(&Sheet::read("s.ini", &text).expect("readable")).expect("right")
+    }
+
+    fn sums(slice: u32, class: u32) -> Sums {
+        let demand = vec![SliceSum { slice, class, operations: 30 }];
+        Sums { span: 2.0, hosts: Vec::new(), demand }
+    }
+
+    #[test]
+    fn sums_become_rows_and_nonsense_is_left_out() {
+        let path = std::env::temp_dir().join(format!("railhub-sums-{}.traffic", std::process::id()));
+        let installation = installation(&path.display().to_string());
+        let mut writer = TrafficWriter::start(&installation, 10.0).expect("writable").expect("named");
+        writer.take(15.0, ProxyId(3), ZoneId(1), &sums(2, 0));
+        writer.take(11.0, ProxyId(3), ZoneId(1), &sums(0, 0));
+        for bad in [sums(4, 0), sums(1, 1)] {
+            writer.take(15.0, ProxyId(3), ZoneId(1), &bad);
+        }
+        writer.take(15.0, ProxyId(3), ZoneId(9000), &sums(1, 0));
+        drop(writer);
+        let opened = file::open(&path).expect("a good file");
+        std::fs::remove_file(&path).expect("there");
+        assert!(!opened.cut_off);
+        let seen: Vec<_> =
+            opened.traffic.rows.iter().map(|r| (r.at, r.slice, r.zone, r.count, r.span)).collect();
+        assert_eq!(seen, [(1.0, 0, 1, 30, 1.0), (5.0, 2, 1, 30, 2.0)]);
+    }
+
+    #[test]
+    fn a_file_that_cannot_be_made_is_told_of_at_the_start() {
+        let fault = TrafficWriter::start(&installation("/nowhere/at/all"), 0.0).err().expect("a fault");
+        assert!(fault.to_string().starts_with("/nowhere/at/all: "));
+    }
+}
--- a/crates/railhub-steward/tests/common/mod.rs
+++ b/crates/railhub-steward/tests/common/mod.rs
@@ -99,6 +99,7 @@
         first_within: 2.0,
         silent_after: 30.0,
         streams_most: 1000,
+        traffic: None,
     };
     Fleet { hosts, roster, store, installation }
 }
--- /dev/null
+++ b/crates/railhub-versions/src/wire.rs
@@ -0,0 +1,295 @@
+//! A round as a batch of lines, and a reply as a draft. Free of I/O and of clocks.
+use railhub::{
+    ClassId, HostId, MarkId, Orders, Phase, ProbeEnd, ProxyId, Repeat, Round, SecondTry, Seconds, SliceId,
+    Terms, TimerId,
+};
+use railhub_steward::draft::Draft;
+use std::fmt::{Display, Write};
+use std::str::FromStr;
+
+/// The table number that stands for all tables.
+const ALL_TABLES: u16 = u16::MAX;
+/// The protocol's codes for the ends of a probe.
+const ANSWERED: u32 = 100;
+const FAILED: u32 = 303;
+const TURNED_AWAY: u32 = 302;
+const UNREACHABLE: u32 = 304;
+/// Microseconds of a turn, which the protocol wants to be told; a round of ours may come at any time.
+const TICK_US: u64 = 4000;
+
+fn micros(span: Seconds) -> u64 {
+    (span * 1e6).round().max(0.0) as u64
+}
+
+/// The line that starts an instance. Zones are named by their numbers, in order, so that the version numbers
+/// them as we do.
+pub fn create(terms: &Terms, zones: usize) -> String {
+    let mut out = format!("CREATE seed=1 tick_us={TICK_US} telemetry.names=busy");
+    let mut put = |name: &str, value: &dyn Display| _ = write!(out, " {name}={value}");
+    put("ceilings.probes", &terms.may_probe);
+    put("family_info.backlog", &terms.backlog);
+    put("family_info.envelope", &terms.message_cost);
+    put("family_info.exclusive", &terms.single_owner);
+    put("family_info.first_wait", &terms.first_wait);
+    put("family_info.key_ranges", &terms.slices);
+    put("family_info.messages_over_us", &micros(terms.messages_span));
+    put("family_info.throttle_by", &if terms.levels_by_share { "share" } else { "rate" });
+    put("family_info.update_cap", &terms.message_cap);
+    put("rules.cold_from", &terms.cold_from);
+    put("rules.fall_multiple", &terms.fall_multiple);
+    put("rules.removal_not_binding", &terms.dropped_may_stay);
+    put("rules.warm_within_us", &micros(terms.warm_within));
+    let zones: Vec<String> = (0..zones).map(|zone| format!("zone-{zone}")).collect();
+    put("zones", &zones.join(","));
+    put("request_classes.count", &terms.classes.len());
+    for (n, class) in terms.classes.iter().enumerate() {
+        let (effect, group, window) = match class.repeat {
+            Repeat::Safe => ("repeatable", "all", 0.0),
+            Repeat::KeyedEverywhere(window) => ("by_key", "all", window),
+            Repeat::KeyedNearby => ("by_key", "zone", 0.0),
+            Repeat::Never => ("once", "all", 0.0),
+        };
+        let mut put = |name: &str, value: &dyn Display| put(&format!("request_classes.{n}.{name}"), value);
+        put("name", &format!("class-{n}"));
+        put("aim_us", &micros(class.contract_time));
+        put("worth", &class.gain);
+        put("effect", &effect);
+        put("group", &group);
+        put("key_ttl_us", &micros(window));
+    }
+    out.push('\n');
+    out
+}
+
+/// One round's batch, with what goes before its events: the instance's start, at its first.
+pub fn batch(round: &Round, start: Option<&str>) -> String {
+    let mut out = format!("FRAME wall_us={}\nAT i=0\n{}", micros(round.now), start.unwrap_or_default());
+    for (n, list) in round.lists.iter().enumerate() {
+        let how = if list.whole { "total" } else { "incr" };
+        let _ = writeln!(out, "ENDPOINTS rev={n} how={how} records={}", list.entries.len());
+        for entry in &list.entries {
+            let phase = match entry.phase {
+                Phase::Ready => "active",
+                Phase::Draining => "leaving",
+                Phase::Gone => "left",
+            };
+            let _ = write!(out, "ITEM phase={phase}");
+            if let Some(started) = entry.started {
+                let _ = write!(out, " last_start_us={}", micros(started).max(1));
+            }
+            let (weight, host, kind) = (entry.weight, entry.host.0, entry.kind.0);
+            let _ = writeln!(out, " w={weight} host={host} stripe=0 zone=zone-0 flavor=kind-{kind}");
+        }
+    }
+    for change in &round.streams {
+        let _ = match change.up {
+            true => writeln!(
+                out,
+                "SUBSCRIBED edge={} zone=zone-0 w=1 on={}",
+                change.proxy.0,
+                u8::from(change.first)
+            ),
+            false => writeln!(out, "STREAM_DOWN edge={}", change.proxy.0),
+        };
+    }
+    for charge in &round.charges {
+        let slice = charge.slice.0;
+        let _ = writeln!(out, "TENURE sheet={slice} on={}", u8::from(charge.given));
+        for (host, weight) in &charge.lines {
+            let _ = writeln!(out, "STORED_LINE sheet={slice} host={} w={weight}", host.0);
+        }
+    }
+    for sum in &round.tries {
+        let (zone, host, time, span) = (sum.zone.0, sum.host.0, micros(sum.mean_time), micros(sum.span));
+        let _ = write!(out, "HEARD zone=zone-{zone} host={host} total={} failed={}", sum.tries, sum.failed);
+        let _ = write!(out, " rtt_us={time} over_us={span}");
+        let _ = match sum.busy {
+            Some(busy) => writeln!(out, " server_stats={busy}"),
+            None => writeln!(out),
+        };
+    }
+    for sum in &round.demand {
+        let (slice, class, span) = (sum.slice.0, sum.class.0, micros(sum.span));
+        let total = sum.operations;
+        let _ =
+            writeln!(out, "HOTNESS sheet={slice} cls=class-{class} total={total} failed=0 over_us={span}");
+    }
+    for probe in &round.probes {
+        let code = match probe.end {
+            ProbeEnd::Answered => ANSWERED,
+            ProbeEnd::TurnedAway => TURNED_AWAY,
+            ProbeEnd::Failed => FAILED,
+            ProbeEnd::Unreachable => UNREACHABLE,
+        };
+        let _ = writeln!(out, "HEALTH code={code} rtt_us=0 host={}", probe.host.0);
+    }
+    for word in &round.confirmed {
+        let _ = writeln!(out, "CONFIRMED edge={} rev={} rtt_us=0", word.proxy.0, word.mark.0);
+    }
+    for timer in &round.timers {
+        let _ = writeln!(out, "BELL ref={}", timer.0);
+    }
+    out.push_str("OVER_TO_YOU\n");
+    out
+}
+
+/// One line of a reply.
+struct Action<'a> {
+    text: &'a str,
+    name: &'a str,
+}
+
+impl<'a> Action<'a> {
+    fn text(&self, field: &str) -> Result<&'a str, String> {
+        let mut pairs = self.text.split(' ').filter_map(|part| part.split_once('='));
+        pairs.find(|pair| pair.0 == field).map(|pair| pair.1).ok_or_else(|| self.wrong(field, "is missing"))
+    }
+
+    fn get<T: FromStr>(&self, field: &str) -> Result<T, String> {
+        let value = self.text(field)?;
+        value.parse().map_err(|_| self.wrong(field, &format!("cannot be '{value}'")))
+    }
+
+    fn amount(&self, field: &str) -> Result<f64, String> {
+        let value: f64 = self.get(field)?;
+        let sane = value.is_finite() && value >= 0.0;
+        sane.then_some(value).ok_or_else(|| self.wrong(field, &format!("cannot be '{value}'")))
+    }
+
+    fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.text(field)? {
+            "1" | "true" => Ok(true),
+            "0" | "false" => Ok(false),
+            other => Err(self.wrong(field, &format!("cannot be '{other}'"))),
+        }
+    }
+
+    fn host(&self) -> Result<HostId, String> {
+        Ok(HostId(self.get("host")?))
+    }
+
+    fn wrong(&self, field: &str, what: &str) -> String {
+        format!("{}: field {field} {what}, in '{}'", self.name, self.text)
+    }
+}
+
+/// Takes one line of a reply into a draft; whether it was the last. An order that proxies here do not know is a
+/// fault: left out in silence, it would make the version look worse or better than it is.
+pub fn take_in(line: &str, classes: usize, draft: &mut Draft) -> Result<bool, String> {
+    let text = line.trim_end();
+    let name = text.split(' ').next().unwrap_or_default();
+    let action = Action { text, name };
+    match name {
+        "DONE" => return Ok(true),
+        "" | "SPEAKING" => {}
+        "SET_LINE" => {
+            draft.set_line(SliceId(action.get("sheet")?), action.host()?, action.amount("w")?);
+        }
+        "HAND_TABLE" => {
+            if action.get::<u64>("only")? != 0 {
+                return Err(action.wrong("only", "names classes: tables for some classes are not known here"));
+            }
+            draft.hand_table(SliceId(action.get("sheet")?), ProxyId(action.get("edge")?));
+        }
+        "THROTTLE" => throttle(&action, classes, draft)?,
+        "BENCH" => draft.shut_out(action.host()?, action.flag("on")?),
+        "BARRIER" => draft.mark(MarkId(action.get("rev")?)),
+        "INSPECT" => draft.probe(action.host()?),
+        "AFTER" => draft.wake(action.get::<u64>("in_us")? as f64 / 1e6, TimerId(action.get("ref")?)),
+        "TRACE" => draft.note(text.split_once("words=").map_or("", |(_, words)| words)),
+        "DIE" => return Err(format!("it gave up: {text}")),
+        other => return Err(format!("'{other}' is not known here, in '{text}'")),
+    }
+    Ok(false)
+}
+
+fn throttle(action: &Action, classes: usize, draft: &mut Draft) -> Result<(), String> {
+    if action.get::<u16>("sheet")? != ALL_TABLES {
+        return Err(action.wrong("sheet", "names one table: levels of one table are not known here"));
+    }
+    let second_try = match action.get::<u32>("second_try")? {
+        0 => SecondTry::Never,
+        1 => SecondTry::IfNeverRan,
+        2 => SecondTry::AfterFailure,
+        _ => return Err(action.wrong("second_try", "is not known here")),
+    };
+    let (only, amount) = (action.get::<u64>("only")?, action.amount("amount")?);
+    let named = |class: &usize| only == 0 || only >> class & 1 == 1;
+    for class in (0..classes.min(64)).filter(named) {
+        draft.set_level(ClassId(class as u8), amount, second_try);
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use railhub::{HostList, KindId, Listed, TrySum, ZoneId};
+
+    #[test]
+    fn a_round_is_written_line_by_line() {
+        let host = HostId("10.0.0.1:80".parse().expect("an address"));
+        let listed = Listed { host, kind: KindId(2), phase: Phase::Ready, started: Some(1.5), weight: 4.0 };
+        let sum = TrySum {
+            zone: ZoneId(1),
+            host,
+            tries: 14.0,
+            failed: 1.0,
+            mean_time: 0.04825,
+            span: 1.0,
+            busy: Some(0.5),
+        };
+        let round = Round {
+            now: 2.0,
+            lists: vec![HostList { whole: true, entries: vec![listed] }],
+            tries: vec![sum],
+            timers: vec![TimerId(7)],
+            ..Round::default()
+        };
+        let lines = [
+            "FRAME wall_us=2000000",
+            "AT i=0",
+            "ENDPOINTS rev=0 how=total records=1",
+            "ITEM phase=active last_start_us=1500000 w=4 host=10.0.0.1:80 stripe=0 zone=zone-0 flavor=kind-2",
+            "HEARD zone=zone-1 host=10.0.0.1:80 total=14 failed=1 rtt_us=48250 over_us=1000000 server_stats=0.5",
+            "BELL ref=7",
+            "OVER_TO_YOU",
+        ];
+        assert_eq!(batch(&round, None).lines().collect::<Vec<_>>(), lines);
+    }
+
+    #[test]
+    fn orders_are_read_and_those_unknown_here_are_refused() {
+        let mut draft = Draft::default();
+        let mut read = |line: &str| take_in(line, 2, &mut draft);
+        assert_eq!(read("SET_LINE sheet=1 host=10.0.0.1:80 w=0.5"), Ok(false));
+        assert_eq!(read("THROTTLE sheet=65535 only=2 amount=0.75 second_try=2"), Ok(false));
+        assert_eq!(read("AFTER in_us=500000 ref=9\r"), Ok(false));
+        assert_eq!(read("TRACE words=two hosts known"), Ok(false));
+        assert_eq!(read("DONE"), Ok(true));
+        for bad in [
+            "SET_LINE sheet=1 host=10.0.0.1:80 w=NaN",
+            "SET_LINE sheet=70000 host=10.0.0.1:80 w=1",
+            "SET_LINE sheet=1 w=1",
+            "THROTTLE sheet=3 only=2 amount=0.75 second_try=2",
+            "THROTTLE sheet=65535 only=0 amount=1 second_try=3",
+            "HAND_TABLE sheet=0 only=1 edge=4",
+            "EMPTY sheet=4",
+            "DIE words=no",
+        ] {
+            assert!(read(bad).is_err(), "{bad}");
+        }
+        assert_eq!(draft.change.lines.len(), 1);
+        assert_eq!(draft.change.levels.len(), 1);
+        assert_eq!((draft.wakes.len(), draft.notes.as_slice()), (1, &["two hosts known".to_owned()][..]));
+    }
+
+    proptest! {
+        /// What a broken version writes is an error or an order, never a panic.
+        #[test]
+        fn no_line_of_a_reply_can_bring_us_down(line in "(SET_LINE|THROTTLE|AFTER|BENCH|BARRIER|HAND_TABLE)?( [a-z_]{1,9}=[-0-9a-zA-Z.:]{0,24}){0,5}") {
+            let _ = take_in(&line, 64, &mut Draft::default());
+        }
+    }
+}
