--- a/crates/railhub-cli/src/compare.rs
+++ b/crates/railhub-cli/src/compare.rs
@@ -1,10 +1,12 @@
-//! `railhub compare`: does a setting help or hurt?
+//! `railhub compare`: does a setting or a version help or hurt?
+use crate::model::read_physics;
 use crate::Ending;
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
-use railhub_experiment::charts;
-use railhub_experiment::report::{csv, words};
-use railhub_experiment::{compare, Experiment};
+use railhub_experiment::report::{runs_csv, words};
+use railhub_experiment::trial::Progress;
+use railhub_experiment::{compare, folder, page, Experiment};
+use railhub_fleet::Physics;
 use std::io::IsTerminal;
 use std::path::PathBuf;
 
@@ -15,30 +17,49 @@
     /// One JSON object on standard output.
     #[arg(long)]
     json: bool,
+    /// Keep tables, charts and the report in a folder.
+    #[arg(long)]
+    keep: Option<PathBuf>,
     /// Keep every run as a table.
     #[arg(long)]
     csv: Option<PathBuf>,
     /// Keep figures and charts as one page, HTML.
     #[arg(long)]
     page: Option<PathBuf>,
+    /// What the machine adds, INI, as `model fit` writes it.
+    #[arg(long)]
+    physics: Option<PathBuf>,
 }
 
 pub fn run(arguments: &CompareArguments) -> Result<(), Ending> {
     let experiment = Experiment::open(&arguments.file)?;
+    let physics = arguments.physics.as_deref().map_or(Ok(Physics::default()), read_physics)?;
     let bar = match std::io::stderr().is_terminal() {
-        true => ProgressBar::new(experiment.blocks_most as u64),
+        true => ProgressBar::new((experiment.blocks_most * experiment.arms.len()) as u64),
         false => ProgressBar::hidden(),
     };
-    let style = ProgressStyle::with_template("{bar:40} {pos} of at most {len} seeds, {eta} left");
+    let style = ProgressStyle::with_template("{bar:40} {pos} of at most {len} runs, {eta} left");
     let bar = bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
-    let outcome = compare(&experiment, &|done| bar.set_position(done as u64)).map_err(Ending::Input)?;
+    let show = |progress: Progress| match progress {
+        Progress::Runs { done, .. } => bar.set_position(done as u64),
+        Progress::Stage(outcome) => {
+            let kept = arguments.keep.as_deref().map(|folder| folder::keep_stage(folder, outcome));
+            if let Some(Err(error)) = kept {
+                tracing::warn!(%error, "the outcome so far is not kept");
+            }
+        }
+    };
+    let outcome = compare(&experiment, physics, &show).map_err(Ending::Input)?;
     bar.finish_and_clear();
+    let unkept = |e| Ending::Input(format!("the report: {e}"));
+    if let Some(folder) = &arguments.keep {
+        folder::keep(folder, &outcome).map_err(unkept)?;
+    }
     if let Some(path) = &arguments.csv {
-        std::fs::write(path, csv(&outcome))?;
+        std::fs::write(path, runs_csv(&outcome))?;
     }
     if let Some(path) = &arguments.page {
-        let page = charts::page(&outcome).map_err(|e| Ending::Input(format!("the page: {e}")))?;
-        std::fs::write(path, page)?;
+        std::fs::write(path, page::page(&outcome).map_err(unkept)?)?;
     }
     if arguments.json {
         println!("{}", serde_json::to_string(&outcome)?);
--- a/crates/railhub-cli/src/day.rs
+++ b/crates/railhub-cli/src/day.rs
@@ -5,8 +5,9 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use railhub_day::report::{rules_words, service, words, Report, Service};
 use railhub_day::{import, play, Day};
-use railhub_record::{read, Event};
+use railhub_record::{read, read_part, Event};
 use railhub_rules::{judge, limits};
+use railhub_series::{causes, over_time, told};
 use railhub_standin::proxy::Sabotage;
 use std::io::IsTerminal;
 use std::path::PathBuf;
@@ -112,7 +113,7 @@
         Some(record) => read(record)?,
         None => steered.events,
     };
-    finish(&day, "loopback", &events, fixed, arguments.json)
+    finish(&Run { day: &day.name, seed: day.seed, how: "loopback" }, &events, fixed, arguments.json)
 }
 
 pub fn progress_bar(day: &Day) -> ProgressBar {
@@ -124,29 +125,47 @@
     bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
 }
 
+/// Which run a report is of.
+pub struct Run<'a> {
+    pub day: &'a str,
+    pub seed: u64,
+    /// loopback or simulated.
+    pub how: &'static str,
+}
+
+/// A report of a record that is all there is: neither day nor seed are known.
+pub fn report(arguments: &CheckArguments) -> Result<(), Ending> {
+    let name = arguments.record.display().to_string();
+    let (events, cut_off) = read_part(&arguments.record)?;
+    if cut_off {
+        eprintln!("{name}: cut off; the {} events before the cut are used", events.len());
+    }
+    finish(&Run { day: &name, seed: 0, how: "from a record" }, &events, None, arguments.json)
+}
+
 /// Prints what came of a day; a broken rule is an ending of its own.
-pub fn finish(
-    day: &Day,
-    how: &'static str,
-    events: &[Event],
-    fixed: Option<Service>,
-    json: bool,
-) -> Result<(), Ending> {
+pub fn finish(run: &Run, events: &[Event], fixed: Option<Service>, json: bool) -> Result<(), Ending> {
     let rules = judge(events).map_err(Ending::Input)?;
     let limits = limits(events).ok_or(Ending::Input("the record has no limits".into()))?;
     let report = Report {
-        day: day.name.clone(),
-        how,
-        seed: day.seed,
+        day: run.day.to_owned(),
+        how: run.how,
+        seed: run.seed,
         service: service(events, limits),
         fixed,
         rules_kept: rules.iter().all(|verdict| verdict.kept),
         rules,
     };
+    let lines = over_time(events, limits);
+    let changes = told(events, limits, &lines);
     if json {
-        println!("{}", serde_json::to_string(&report)?);
+        let mut all = serde_json::to_value(&report)?;
+        all["changes"] = serde_json::to_value(&changes)?;
+        all["over_time"] = serde_json::to_value(&lines)?;
+        println!("{all}");
     } else {
         print!("{}", words(&report));
+        print!("{}", causes::words(&changes));
     }
     if report.rules_kept {
         Ok(())
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod standin;
 mod steward;
 mod traffic;
+mod watch;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
@@ -46,6 +47,10 @@
     Compare(compare::CompareArguments),
     /// Recorded operations: takes, shows, fits, cuts and scales them.
     Traffic(traffic::TrafficArguments),
+    /// Shows a running day, a finished record or an experiment's folder in the terminal.
+    Watch(watch::WatchArguments),
+    /// What `day` says of a run, from its record alone: service, its changes, rules.
+    Report(day::CheckArguments),
     /// Judges the rules from a record alone.
     Check(day::CheckArguments),
 }
@@ -89,6 +94,8 @@
         Command::Model(given) => model::run(&given),
         Command::Compare(given) => compare::run(&given),
         Command::Traffic(given) => traffic::run(&given),
+        Command::Watch(given) => watch::run(&given),
+        Command::Report(given) => day::report(&given),
         Command::Check(given) => day::check(&given),
     };
     match ended {
--- a/crates/railhub-cli/src/model.rs
+++ b/crates/railhub-cli/src/model.rs
@@ -1,14 +1,15 @@
 //! `railhub model`: a day in simulated time.
-use crate::day::finish;
+use crate::day::{finish, Run};
 use crate::Ending;
 use clap::{Args, Subcommand, ValueEnum};
 use railhub_day::report::service;
 use railhub_day::Day;
+use railhub_experiment::predict::predict;
 use railhub_experiment::stats::{estimate, Estimate};
 use railhub_fleet::fit::samples;
 use railhub_fleet::{run as run_model, Baseline, Physics, Policy};
 use railhub_ini::{Complaint, Sheet};
-use railhub_record::read;
+use railhub_record::{read, Recorder};
 use railhub_rules::limits;
 use std::path::{Path, PathBuf};
 
@@ -35,6 +36,13 @@
     /// Leave out the same day with tables fixed at the start.
     #[arg(long)]
     no_fixed: bool,
+    /// Play the day so often, each time with other luck: the interval that one more run lies in. 19 runs make it
+    /// hold in 9 of 10 cases.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(2..100_000))]
+    runs: Option<u64>,
+    /// Keep what happened, as `day --record` does.
+    #[arg(long)]
+    record: Option<PathBuf>,
 }
 
 #[derive(Subcommand)]
@@ -72,14 +80,49 @@
     let physics = arguments.physics.as_deref().map_or(Ok(Physics::default()), read_physics)?;
     let mut day = Day::open(file)?;
     day.seed = arguments.seed.unwrap_or(day.seed);
+    if let Some(runs) = arguments.runs {
+        return foresee(&day, &arguments.policy.policy(), physics, runs, arguments.json);
+    }
     let play = |policy: Policy| run_model(&day, &policy, physics).map_err(Ending::Input);
     let events = play(arguments.policy.policy())?;
+    if let Some(path) = &arguments.record {
+        let recorder = Recorder::start(Some(path))?;
+        for event in &events {
+            event.what.iter().for_each(|what| recorder.note(event.at, what.clone()));
+        }
+        recorder.finish()?;
+    }
     let fixed = (!arguments.no_fixed).then(|| play(Policy::Fixed)).transpose()?;
     let fixed = fixed.and_then(|events| Some(service(&events, limits(&events)?)));
-    finish(&day, "simulated", &events, fixed, arguments.json)
+    let run = Run { day: &day.name, seed: day.seed, how: "simulated" };
+    finish(&run, &events, fixed, arguments.json)
+}
+
+fn foresee(day: &Day, policy: &Policy, physics: Physics, runs: u64, json: bool) -> Result<(), Ending> {
+    let told = predict(day, policy, physics, runs).map_err(Ending::Input)?;
+    if json {
+        println!("{}", serde_json::to_string(&told)?);
+    } else {
+        let holds = told.holds * 100.0;
+        println!(
+            "{} (seed {}), simulated, {runs} runs; one more lies within in {holds:.0} of 100 cases",
+            day.name, day.seed
+        );
+        for (name, within) in [("service", told.service), ("worst 10 s", told.worst_10_s)] {
+            println!("{name} {:.3} [{:.3}, {:.3}]", within.mean, within.low, within.high);
+        }
+        if told.runs_with_broken_rules > 0 {
+            println!("rules BROKEN in {} runs", told.runs_with_broken_rules);
+        }
+    }
+    if told.runs_with_broken_rules == 0 {
+        Ok(())
+    } else {
+        Err(Ending::Check)
+    }
 }
 
-fn read_physics(path: &Path) -> Result<Physics, Complaint> {
+pub fn read_physics(path: &Path) -> Result<Physics, Complaint> {
     let sheet = Sheet::open(path)?;
     sheet.only(|name| name == "physics")?;
     let section = sheet.section("physics");
--- a/crates/railhub-cli/src/standin.rs
+++ b/crates/railhub-cli/src/standin.rs
@@ -1,5 +1,5 @@
 //! `railhub standin`: a day's stand-ins for a steward that somebody else starts.
-use crate::day::{finish, progress_bar};
+use crate::day::{finish, progress_bar, Run};
 use crate::Ending;
 use clap::Args;
 use railhub_day::{play, Day, Launch, Launched};
@@ -49,5 +49,5 @@
     let played = play(&day, Some(launch), None, None, &|at| bar.set_position(at.max(0.0) as u64));
     bar.finish_and_clear();
     let played = played.map_err(Ending::Input)?;
-    finish(&day, "loopback", &played.events, None, arguments.json)
+    finish(&Run { day: &day.name, seed: day.seed, how: "loopback" }, &played.events, None, arguments.json)
 }
--- a/crates/railhub-day/src/play.rs
+++ b/crates/railhub-day/src/play.rs
@@ -15,6 +15,8 @@
 
 /// Seconds the fleet runs on after the last operation has ended.
 const RUN_ON: f64 = 1.0;
+/// Seconds a day may begin late: less than any operation of a script waits.
+const LATEST_START: f64 = 0.05;
 
 /// A steward that was launched from its settings.
 pub struct Launched {
@@ -40,13 +42,19 @@
     record: Option<&Path>,
     progress: &(dyn Fn(f64) + Sync),
 ) -> Result<Played, String> {
+    // Drawn before the day's clock is set: drawing takes long, and what it holds up would come all at once.
+    let arrivals = draw::arrivals(day, draw::capacity(&draw::hosts(day, day.hosts, "hosts")));
     let recorder = Recorder::start(record).map_err(|e| e.to_string())?;
     let world = World::open(day, &recorder, launch, sabotage).map_err(|e| format!("the fleet: {e}"))?;
     world.launch_steward()?;
     world.follow_steward();
     std::thread::sleep(seconds(world.began - now()));
     world.note_limits();
-    let arrivals = draw::arrivals(day, draw::capacity(&draw::hosts(day, day.hosts, "hosts")));
+    let late = now() - world.began;
+    if late > LATEST_START {
+        world.close();
+        return Err(format!("the day would begin {late:.2} s late, and its first operations all at once"));
+    }
     let ended = Arc::new(AtomicBool::new(false));
     let (coming, done) = (world.clone(), ended.clone());
     go(move || {
--- a/crates/railhub-experiment/src/plan.rs
+++ b/crates/railhub-experiment/src/plan.rs
@@ -1,15 +1,27 @@
-//! An experiment as its file tells it: a day, and arms that change some of its keys or who steers.
+//! An experiment as its file tells it: days, and arms that change some of their keys, who steers, the module's
+//! constants or its version. A sweep makes an arm of each value.
 use railhub_day::Day;
 use railhub_fleet::{Baseline, Policy};
-use railhub_ini::{Complaint, Sheet};
-use std::path::Path;
+use railhub_ini::{Complaint, Section, Sheet};
+use railhub_versions::variant;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+/// Arms that a sweep may make.
+const SWEEP_MOST: usize = 200;
+/// Keys of an arm that begin with this are constants of the module.
+const MODULE: &str = "module.";
 
 #[derive(Clone, Debug)]
 pub struct Arm {
     pub name: String,
     pub policy: Policy,
-    /// The day with the arm's keys in place of its own.
-    pub day: Day,
+    /// The experiment's days with the arm's keys in place of their own.
+    pub days: Vec<Day>,
+    /// Other picks of the proxies, all else the same: to see what chance alone does.
+    pub luck: u64,
+    /// Its values in a sweep.
+    pub swept: Vec<f64>,
 }
 
 #[derive(Clone, Debug)]
@@ -17,6 +29,9 @@
     pub name: String,
     /// The first is what the others are compared with.
     pub arms: Vec<Arm>,
+    pub days: Vec<String>,
+    /// Keys that are swept, if any.
+    pub sweep: Vec<String>,
     pub first_seed: u64,
     pub blocks_least: usize,
     pub blocks_most: usize,
@@ -26,48 +41,44 @@
     pub worth_having: f64,
 }
 
+/// What arms are made of.
+struct Ground {
+    /// Where paths of the file begin.
+    folder: PathBuf,
+    /// The tree that variants of the module are built of, and where they are kept.
+    source: PathBuf,
+    /// Names and texts of the days.
+    days: Vec<(PathBuf, String)>,
+}
+
 impl Experiment {
     pub fn open(path: &Path) -> Result<Experiment, Complaint> {
         let sheet = Sheet::open(path)?;
         let is_arm = |name: &str| name.starts_with("arm ");
-        sheet.only(|name| name == "experiment" || is_arm(name))?;
+        sheet.only(|name| name == "experiment" || name == "sweep" || is_arm(name))?;
         let head = sheet.section("experiment");
-        let file: String = head.need("day")?;
-        let file = path.parent().unwrap_or(Path::new(".")).join(file);
-        let text = std::fs::read_to_string(&file)
-            .map_err(|e| head.wrong("day", format!("{}: cannot be read: {e}", file.display())))?;
-        let day_name = file.display().to_string();
+        let folder = path.parent().unwrap_or(Path::new(".")).to_owned();
+        let source = folder.join(head.text("source").unwrap_or(".."));
+        let ground = Ground { days: days(&head, &folder)?, folder, source };
         let mut arms = Vec::new();
         for name in sheet.sections().into_iter().filter(|name| is_arm(name)) {
             let section = sheet.section(&name);
-            let policy = match section.text("policy").unwrap_or("steward") {
-                "steward" => Policy::Steward,
-                "fixed" => Policy::Fixed,
-                "hash" => Policy::Baseline(Baseline::Hash),
-                "even" => Policy::Baseline(Baseline::Even),
-                other => {
-                    let may = "steward, fixed, hash or even";
-                    return Err(section.wrong("policy", format!("cannot be '{other}': {may}")));
-                }
-            };
-            let mut changed = text.clone();
-            for key in section.keys().into_iter().filter(|key| key != "policy") {
-                let value = section.text(&key).unwrap_or_default();
-                changed = replaced(&changed, &key, value).ok_or_else(|| {
-                    section.wrong(&key, "is no [section] of the day and a key: rules.grace = 3")
-                })?;
-            }
-            section.done()?;
-            let day = Sheet::read(&day_name, &changed).and_then(|sheet| Day::read(&sheet));
-            let day = day.map_err(|e| section.wrong("", format!("makes no good day: {e}")))?;
-            arms.push(Arm { name: name["arm ".len()..].trim().to_owned(), policy, day });
+            let keys = section.keys().into_iter();
+            let keys = keys.map(|key| (section.text(&key).unwrap_or_default().to_owned(), key));
+            let keys = keys.map(|(value, key)| (key, value)).collect();
+            arms.push(ground.arm(&section, name["arm ".len()..].trim(), &keys, Vec::new())?);
         }
+        let sweep = sheet.section("sweep");
+        let swept = if sweep.is_there() { swept(&sweep, &ground, &mut arms)? } else { Vec::new() };
         if arms.len() < 2 {
-            return Err(head.wrong("", "needs two arms at least: [arm NAME]"));
+            return Err(head.wrong("", "needs two arms at least: [arm NAME], or a [sweep]"));
         }
+        let days = ground.days.iter().map(|(path, _)| path.file_stem().unwrap_or_default());
         let experiment = Experiment {
             name: head.or("name", "unnamed".to_owned())?,
             arms,
+            days: days.map(|name| name.to_string_lossy().into_owned()).collect(),
+            sweep: swept,
             first_seed: head.or("first_seed", 1)?,
             blocks_least: head.within("blocks_least", 8.0, 3.0, 10_000.0)? as usize,
             blocks_most: head.within("blocks_most", 100.0, 3.0, 100_000.0)? as usize,
@@ -79,6 +90,119 @@
     }
 }
 
+fn days(head: &Section, folder: &Path) -> Result<Vec<(PathBuf, String)>, Complaint> {
+    let mut names = head.list("days");
+    names.extend(head.text("day").map(str::to_owned));
+    if names.is_empty() {
+        return Err(head.wrong("day", "is missing: day = FILE, or days = FILE, FILE"));
+    }
+    let read = |name: &String| {
+        let file = folder.join(name);
+        let text = std::fs::read_to_string(&file);
+        let text = text.map_err(|e| head.wrong("day", format!("{}: cannot be read: {e}", file.display())))?;
+        Ok((file, text))
+    };
+    names.iter().map(read).collect()
+}
+
+/// Adds an arm for each value, or each pair of values, of the keys that are swept.
+fn swept(sweep: &Section, ground: &Ground, arms: &mut Vec<Arm>) -> Result<Vec<String>, Complaint> {
+    let axis = |key: &str, values: &str| -> Result<Option<(String, Vec<f64>)>, Complaint> {
+        let Some(name) = sweep.text(key).map(str::to_owned) else { return Ok(None) };
+        let texts = sweep.list(values);
+        let read: Option<Vec<f64>> = texts.iter().map(|text| text.parse().ok()).collect();
+        let read = read.filter(|values| values.len() >= 2);
+        Ok(Some((name, read.ok_or_else(|| sweep.wrong(values, "needs two numbers at least"))?)))
+    };
+    let first = axis("key", "values")?.ok_or_else(|| sweep.wrong("key", "is missing"))?;
+    let second = axis("key2", "values2")?;
+    sweep.done()?;
+    let others: Vec<Option<f64>> = match &second {
+        Some((_, values)) => values.iter().copied().map(Some).collect(),
+        None => vec![None],
+    };
+    if first.1.len() * others.len() > SWEEP_MOST {
+        return Err(sweep.wrong("values", format!("make more than {SWEEP_MOST} arms")));
+    }
+    for other in &others {
+        for value in &first.1 {
+            let mut keys = BTreeMap::from([(first.0.clone(), value.to_string())]);
+            let mut name = format!("{} = {value}", first.0);
+            if let (Some((key, _)), Some(other)) = (&second, other) {
+                keys.insert(key.clone(), other.to_string());
+                name += &format!(", {key} = {other}");
+            }
+            let at = std::iter::once(*value).chain(*other).collect();
+            arms.push(ground.arm(sweep, &name, &keys, at)?);
+        }
+    }
+    Ok(std::iter::once(first.0).chain(second.map(|second| second.0)).collect())
+}
+
+impl Ground {
+    fn arm(
+        &self,
+        section: &Section,
+        name: &str,
+        keys: &BTreeMap<String, String>,
+        swept: Vec<f64>,
+    ) -> Result<Arm, Complaint> {
+        let mut texts: Vec<String> = self.days.iter().map(|day| day.1.clone()).collect();
+        let (mut constants, mut policy, mut luck) = (BTreeMap::new(), None, 0);
+        for (key, value) in keys {
+            if let Some(constant) = key.strip_prefix(MODULE) {
+                constants.insert(constant.to_owned(), value.clone());
+            } else if key == "policy" {
+                policy = Some(plain(section, value)?);
+            } else if key == "version" {
+                let program = self.folder.join(value);
+                if !program.is_file() {
+                    return Err(section.wrong(key, format!("'{value}' is no program")));
+                }
+                policy = Some(Policy::Version(program));
+            } else if key == "luck" {
+                luck = value.parse().map_err(|_| section.wrong(key, format!("cannot be '{value}'")))?;
+            } else {
+                for text in &mut texts {
+                    let unknown =
+                        || section.wrong(key, "is no [section] of the day and a key: rules.grace = 3");
+                    *text = replaced(text, key, value).ok_or_else(unknown)?;
+                }
+            }
+        }
+        if !constants.is_empty() && policy.is_some() {
+            return Err(section.wrong("policy", "and version may not stand beside constants of the module"));
+        }
+        if !constants.is_empty() {
+            let kept = self.source.join("target/versions");
+            let built = variant::build(&self.source, &kept, &constants);
+            policy = Some(Policy::Version(built.map_err(|e| section.wrong("", e))?));
+        }
+        let days = self.days.iter().zip(&texts).map(|((path, _), text)| {
+            let name = path.display().to_string();
+            let folder = path.parent().unwrap_or(Path::new("."));
+            let day = Sheet::read(&name, text).and_then(|sheet| Day::read_beside(&sheet, folder));
+            day.map_err(|e| section.wrong("", format!("makes no good day: {e}")))
+        });
+        let days = days.collect::<Result<_, _>>()?;
+        Ok(Arm { name: name.to_owned(), policy: policy.unwrap_or(Policy::Steward), days, luck, swept })
+    }
+}
+
+fn plain(section: &Section, name: &str) -> Result<Policy, Complaint> {
+    Ok(match name {
+        "steward" => Policy::Steward,
+        "fixed" => Policy::Fixed,
+        "hash" => Policy::Baseline(Baseline::Hash),
+        "even" => Policy::Baseline(Baseline::Even),
+        "latency" => Policy::Baseline(Baseline::Latency),
+        other => {
+            let may = "steward, fixed, hash, even or latency";
+            return Err(section.wrong("policy", format!("cannot be '{other}': {may}")));
+        }
+    })
+}
+
 /// The text with `section.key` set to a value; `None` if the day has no such section.
 fn replaced(text: &str, name: &str, value: &str) -> Option<String> {
     let (section, key) = name.rsplit_once('.')?;
--- a/crates/railhub-experiment/src/report.rs
+++ b/crates/railhub-experiment/src/report.rs
@@ -1,47 +1,160 @@
-//! What an experiment came to, for a person and as a table.
+//! What an experiment came to, in words and as tables.
+use crate::outcome::{ArmOutcome, Outcome};
 use crate::stats::{Estimate, Verdict};
-use crate::trial::Outcome;
+use railhub_series::tail::TailFigures;
 use std::fmt::Write;
 
-fn interval(estimate: &Estimate) -> String {
+/// Widest name of an arm in the words.
+const NAME: usize = 28;
+
+pub fn interval(estimate: &Estimate) -> String {
     format!("{:.4} [{:.4}, {:.4}]", estimate.mean, estimate.low, estimate.high)
 }
 
+pub fn verdict_words(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Better => "better",
+        Verdict::Worse => "worse",
+        Verdict::NoDifferenceWorthHaving => "no difference worth having",
+        Verdict::NotKnownYet => "not known yet",
+        Verdict::BreaksRules => "loses: it breaks rules",
+        Verdict::FirstBreaksRules => "wins: the first breaks rules",
+        Verdict::BothBreakRules => "both break rules: neither is to be used",
+        Verdict::CannotBeRun => "cannot be run",
+    }
+}
+
 pub fn words(outcome: &Outcome) -> String {
     let mut out = String::new();
     let known = if outcome.settled { "known well enough" } else { "budget spent" };
-    let _ = writeln!(out, "{}, {}, {} seeds, {known}", outcome.experiment, outcome.how, outcome.blocks);
+    let days = match outcome.days.len() {
+        1 => String::new(),
+        days => format!(" over {days} days"),
+    };
+    let _ =
+        writeln!(out, "{}, {}, {} blocks{days}, {known}", outcome.experiment, outcome.how, outcome.blocks);
     for arm in &outcome.arms {
-        let _ = writeln!(out, "{:<20} service {}", arm.name, interval(&arm.service));
-        let _ = writeln!(out, "{:<20} worst 10 s {}", "", interval(&arm.worst_10_s));
-        if let (Some(difference), Some(verdict)) = (&arm.difference, arm.verdict) {
-            let verdict = match verdict {
-                Verdict::Better => "better",
-                Verdict::Worse => "worse",
-                Verdict::NoDifferenceWorthHaving => "no difference worth having",
-                Verdict::NotKnownYet => "not known yet",
-            };
-            let _ = writeln!(out, "{:<20} less the first: {} - {verdict}", "", interval(difference));
-        }
-        if arm.runs_with_broken_rules > 0 {
-            let _ = writeln!(out, "{:<20} rules BROKEN on {} seeds", "", arm.runs_with_broken_rules);
-        }
+        arm_words(&mut out, arm, outcome);
+    }
+    if let Some((day, seed)) = outcome.survived_by_none.first() {
+        let count = outcome.survived_by_none.len();
+        let _ = writeln!(
+            out,
+            "no arm keeps all rules on {count} of {} blocks, first {day}, seed {seed}",
+            outcome.blocks
+        );
     }
     out
 }
 
+fn arm_words(out: &mut String, arm: &ArmOutcome, outcome: &Outcome) {
+    let _ = writeln!(out, "{:<NAME$} service {}", arm.name, interval(&arm.service));
+    let mut line = |text: String| _ = writeln!(out, "{:<NAME$} {text}", "");
+    line(format!("worst 10 s {}", interval(&arm.worst_10_s)));
+    if let (Some(difference), Some(verdict)) = (&arm.difference, arm.verdict) {
+        line(format!("less the first: {} - {}", interval(difference), verdict_words(verdict)));
+    }
+    if let (Some(difference), Some(verdict)) = (&arm.worst_10_s_difference, arm.worst_10_s_verdict) {
+        line(format!("worst 10 s less the first's: {} - {}", interval(difference), verdict_words(verdict)));
+    }
+    if arm.difference_by_day.len() > 1 {
+        for (day, difference) in outcome.days.iter().zip(&arm.difference_by_day) {
+            line(format!("  {day:<24} {}", interval(difference)));
+        }
+    }
+    line(format!("{:.0} moves, {:.0} messages a run", arm.moves.mean, arm.messages.mean));
+    for tail in &arm.tails {
+        line(tail_words(tail));
+    }
+    if let Some(fault) = &arm.failed {
+        line(format!("cannot be run: {fault}"));
+    }
+    if let Some((seed, moment)) = &arm.first_breach {
+        let (count, runs) = (arm.runs_with_broken_rules, arm.runs.len());
+        line(format!("rules BROKEN in {count} of {runs} runs"));
+        line(format!("  first on seed {seed}, rule {} at {:.2} s: {}", moment.rule, moment.at, moment.what));
+    }
+}
+
+fn tail_words(tail: &TailFigures) -> String {
+    let time = |time: Option<f64>| time.map_or("never".to_owned(), |time| format!("{time:.3} s"));
+    let (half, of_99, of_999) = (time(tail.half), time(tail.of_99), time(tail.of_999));
+    format!("{}: half answered within {half}, 99 % {of_99}, 99.9 % {of_999}", tail.class)
+}
+
+/// A cell that may hold anything.
+fn cell(text: &str) -> String {
+    if text.contains([',', '"', '\n']) {
+        format!("\"{}\"", text.replace('"', "\"\""))
+    } else {
+        text.to_owned()
+    }
+}
+
 /// One line a run.
-pub fn csv(outcome: &Outcome) -> String {
-    let mut out = "arm,seed,service,worst_10_s,messages,operations,rules_broken\n".to_owned();
+pub fn runs_csv(outcome: &Outcome) -> String {
+    let mut out = "arm,day,seed,service,worst_10_s,moves,messages,operations,rules_broken\n".to_owned();
     for arm in &outcome.arms {
         for run in &arm.runs {
             let broken = run.rules_broken.iter().map(u8::to_string).collect::<Vec<_>>().join(" ");
+            let (name, day) = (cell(&arm.name), cell(&outcome.days[run.day]));
             let _ = writeln!(
                 out,
-                "{},{},{:.6},{:.6},{},{},{broken}",
-                arm.name, run.seed, run.service, run.worst_10_s, run.messages, run.operations
+                "{name},{day},{},{:.6},{:.6},{},{},{},{broken}",
+                run.seed, run.service, run.worst_10_s, run.moves, run.messages, run.operations
             );
         }
     }
     out
 }
+
+/// One line an arm.
+pub fn arms_csv(outcome: &Outcome) -> String {
+    let mut out =
+        "arm,runs,service,low,high,less_first,less_first_low,less_first_high,verdict,worst_10_s,moves,\
+                   messages,runs_with_broken_rules\n"
+            .to_owned();
+    for arm in &outcome.arms {
+        let less =
+            arm.difference.map_or(",,".to_owned(), |d| format!("{:.6},{:.6},{:.6}", d.mean, d.low, d.high));
+        let verdict = arm.verdict.map_or("", verdict_words);
+        let Estimate { mean, low, high, count } = arm.service;
+        let _ = writeln!(
+            out,
+            "{},{count},{mean:.6},{low:.6},{high:.6},{less},{},{:.6},{:.2},{:.2},{}",
+            cell(&arm.name),
+            cell(verdict),
+            arm.worst_10_s.mean,
+            arm.moves.mean,
+            arm.messages.mean,
+            arm.runs_with_broken_rules
+        );
+    }
+    out
+}
+
+/// One line an arm, day and second.
+pub fn over_time_csv(outcome: &Outcome) -> String {
+    let mut out = "arm,day,second,service,low,high,moves\n".to_owned();
+    for arm in &outcome.arms {
+        for (day, band) in outcome.days.iter().zip(&arm.bands) {
+            for step in 0..band.mean.len() {
+                let (mean, low, high) = (band.mean[step], band.low[step], band.high[step]);
+                let (name, day, moves) = (cell(&arm.name), cell(day), band.moves[step]);
+                let _ = writeln!(out, "{name},{day},{step},{mean:.5},{low:.5},{high:.5},{moves:.3}");
+            }
+        }
+    }
+    out
+}
+
+/// One line an arm and host, the most loaded first.
+pub fn loads_csv(outcome: &Outcome) -> String {
+    let mut out = "arm,rank,load\n".to_owned();
+    for arm in &outcome.arms {
+        for (rank, load) in arm.loads.iter().enumerate() {
+            let _ = writeln!(out, "{},{},{load:.5}", cell(&arm.name), rank + 1);
+        }
+    }
+    out
+}
--- a/crates/railhub-experiment/src/stats.rs
+++ b/crates/railhub-experiment/src/stats.rs
@@ -52,6 +52,13 @@
     Worse,
     NoDifferenceWorthHaving,
     NotKnownYet,
+    /// It breaks rules, the first arm does not: it loses, whatever its service.
+    BreaksRules,
+    /// The first arm breaks rules, it does not: it wins, whatever its service.
+    FirstBreaksRules,
+    /// Neither is to be used.
+    BothBreakRules,
+    CannotBeRun,
 }
 
 /// What is known of a difference.
--- a/crates/railhub-experiment/src/trial.rs
+++ b/crates/railhub-experiment/src/trial.rs
@@ -1,79 +1,58 @@
 //! Plays blocks of an experiment on all cores and stops once enough is known.
+use crate::figures::{figures, RunFigures};
+use crate::outcome::{summed_up, Outcome};
 use crate::plan::Experiment;
-use crate::stats::{estimate, verdict, Estimate, Verdict};
-use railhub_day::report::service;
 use railhub_day::Day;
-use railhub_fleet::{run, Physics};
-use railhub_rules::{judge, limits};
-use serde::Serialize;
+use railhub_fleet::{run_with_luck, Physics};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 
-/// What one arm's run on one seed came to.
-#[derive(Clone, Debug, Serialize)]
-pub struct RunFigures {
-    pub seed: u64,
-    pub service: f64,
-    pub worst_10_s: f64,
-    pub rules_broken: Vec<u8>,
-    pub messages: u64,
-    pub operations: u64,
-}
+/// One arm's run, or why there is none.
+pub type Ran = Result<RunFigures, String>;
 
-#[derive(Clone, Debug, Serialize)]
-pub struct ArmOutcome {
-    pub name: String,
-    pub service: Estimate,
-    pub worst_10_s: Estimate,
-    pub messages: Estimate,
-    pub runs_with_broken_rules: usize,
-    /// Less the first arm's, seed by seed; none for the first itself.
-    pub difference: Option<Estimate>,
-    pub worst_10_s_difference: Option<Estimate>,
-    pub verdict: Option<Verdict>,
-    pub runs: Vec<RunFigures>,
+/// Where an experiment stands, told after each run and after each stage.
+pub enum Progress<'a> {
+    Runs { done: usize, of: usize },
+    Stage(&'a Outcome),
 }
 
-#[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
-    pub experiment: String,
-    pub how: &'static str,
-    pub blocks: usize,
-    /// The differences were known well enough before the budget was spent.
-    pub settled: bool,
-    pub arms: Vec<ArmOutcome>,
+/// The day and the seed of a block: days take turns.
+fn block_of(experiment: &Experiment, block: usize) -> (usize, u64) {
+    let days = experiment.days.len();
+    (block % days, experiment.first_seed + (block / days) as u64)
 }
 
-fn run_one(day: &Day, experiment: &Experiment, arm: usize, seed: u64) -> Result<RunFigures, String> {
-    let day = Day { seed, ..day.clone() };
-    let events = run(&day, &experiment.arms[arm].policy, Physics::default())?;
-    let limits = limits(&events).ok_or("a run without limits")?;
-    let service = service(&events, limits);
-    let broken = judge(&events)?.into_iter().filter(|verdict| !verdict.kept).map(|verdict| verdict.rule);
-    let is_delta =
-        |event: &&railhub_record::Event| matches!(event.what, Some(railhub_record::What::Delta(_)));
-    Ok(RunFigures {
-        seed,
-        service: service.whole,
-        worst_10_s: service.worst_10_s,
-        rules_broken: broken.collect(),
-        messages: events.iter().filter(is_delta).count() as u64,
-        operations: service.operations,
-    })
+fn run_one(experiment: &Experiment, arm: usize, block: usize, physics: Physics) -> Ran {
+    let (place, seed) = block_of(experiment, block);
+    let arm = &experiment.arms[arm];
+    let day = Day { seed, ..arm.days[place].clone() };
+    let events = run_with_luck(&day, &arm.policy, physics, arm.luck)?;
+    figures(&events, place, seed)
 }
 
-/// `progress` is told how many blocks are done.
-pub fn compare(experiment: &Experiment, progress: &(dyn Fn(usize) + Sync)) -> Result<Outcome, String> {
-    let mut blocks: Vec<Vec<RunFigures>> = Vec::new();
+/// Stops when every difference is known closely enough, or when the budget is spent. An arm that cannot be run,
+/// as a version that dies, is out of the rest; the first arm must run.
+pub fn compare(
+    experiment: &Experiment,
+    physics: Physics,
+    progress: &(dyn Fn(Progress) + Sync),
+) -> Result<Outcome, String> {
+    let mut blocks: Vec<Vec<Ran>> = Vec::new();
+    let days = experiment.days.len();
     loop {
         let more = if blocks.is_empty() { experiment.blocks_least } else { blocks.len().max(4) / 2 };
+        // Whole rounds of the days: a stage must not hold more of one day than of another.
+        let more = more.div_ceil(days) * days;
         let more = more.min(experiment.blocks_most.saturating_sub(blocks.len()));
         if more > 0 {
-            blocks.extend(play_blocks(experiment, blocks.len(), more, progress)?);
+            blocks.extend(play_blocks(experiment, physics, &blocks, more, progress));
+        }
+        if let Some(Err(fault)) = blocks.iter().map(|block| &block[0]).find(|ran| ran.is_err()) {
+            return Err(format!("the first arm, {}: {fault}", experiment.arms[0].name));
         }
         let outcome = summed_up(experiment, &blocks);
-        let spent = blocks.len() >= experiment.blocks_most;
-        if outcome.settled || spent {
+        progress(Progress::Stage(&outcome));
+        if outcome.settled || blocks.len() >= experiment.blocks_most {
             return Ok(outcome);
         }
     }
@@ -81,13 +60,17 @@
 
 fn play_blocks(
     experiment: &Experiment,
-    from: usize,
+    physics: Physics,
+    before: &[Vec<Ran>],
     count: usize,
-    progress: &(dyn Fn(usize) + Sync),
-) -> Result<Vec<Vec<RunFigures>>, String> {
-    let arms = experiment.arms.len();
+    progress: &(dyn Fn(Progress) + Sync),
+) -> Vec<Vec<Ran>> {
+    let (arms, from) = (experiment.arms.len(), before.len());
+    let is_out =
+        |arm: usize| before.iter().map(|block| &block[arm]).find_map(|ran| ran.as_ref().err().cloned());
+    let out: Vec<Option<String>> = (0..arms).map(is_out).collect();
     let (next, done) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let results: Mutex<Vec<Option<Result<RunFigures, String>>>> = Mutex::new(vec![None; arms * count]);
+    let results: Mutex<Vec<Option<Ran>>> = Mutex::new(vec![None; arms * count]);
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(arms * count);
     std::thread::scope(|scope| {
         for _ in 0..threads {
@@ -97,48 +80,17 @@
                     return;
                 }
                 let (block, arm) = (number / arms, number % arms);
-                let seed = experiment.first_seed + (from + block) as u64;
-                let figures = run_one(&experiment.arms[arm].day, experiment, arm, seed);
-                results.lock().expect("no holder panics")[number] = Some(figures);
-                progress(from + (done.fetch_add(1, Ordering::Relaxed) + 1) / arms);
+                let ran = match &out[arm] {
+                    Some(fault) => Err(fault.clone()),
+                    None => run_one(experiment, arm, from + block, physics),
+                };
+                results.lock().expect("no holder panics")[number] = Some(ran);
+                let done = arms * from + done.fetch_add(1, Ordering::Relaxed) + 1;
+                progress(Progress::Runs { done, of: arms * experiment.blocks_most });
             });
         }
     });
-    let results = results.into_inner().map_err(|_| "a run ended early")?;
-    let figures: Vec<RunFigures> =
-        results.into_iter().map(|run| run.ok_or("a run is missing")?).collect::<Result<_, String>>()?;
-    Ok(figures.chunks(arms).map(<[RunFigures]>::to_vec).collect())
-}
-
-fn summed_up(experiment: &Experiment, blocks: &[Vec<RunFigures>]) -> Outcome {
-    let seed = experiment.first_seed;
-    let column = |arm: usize, figure: fn(&RunFigures) -> f64| -> Vec<f64> {
-        blocks.iter().map(|block| figure(&block[arm])).collect()
-    };
-    let less_first = |arm: usize, figure: fn(&RunFigures) -> f64| {
-        let pairs = blocks.iter().map(|block| figure(&block[arm]) - figure(&block[0]));
-        estimate(&pairs.collect::<Vec<_>>(), seed)
-    };
-    let arms: Vec<ArmOutcome> = (experiment.arms.iter().enumerate())
-        .map(|(n, arm)| {
-            let difference = (n > 0).then(|| less_first(n, |run| run.service));
-            ArmOutcome {
-                name: arm.name.clone(),
-                service: estimate(&column(n, |run| run.service), seed),
-                worst_10_s: estimate(&column(n, |run| run.worst_10_s), seed),
-                messages: estimate(&column(n, |run| run.messages as f64), seed),
-                runs_with_broken_rules: blocks
-                    .iter()
-                    .filter(|block| !block[n].rules_broken.is_empty())
-                    .count(),
-                worst_10_s_difference: (n > 0).then(|| less_first(n, |run| run.worst_10_s)),
-                verdict: difference.as_ref().map(|difference| verdict(difference, experiment.worth_having)),
-                difference,
-                runs: blocks.iter().map(|block| block[n].clone()).collect(),
-            }
-        })
-        .collect();
-    let close = |arm: &ArmOutcome| arm.difference.is_none_or(|d| d.half_width() <= experiment.close_enough);
-    let settled = arms.iter().all(close);
-    Outcome { experiment: experiment.name.clone(), how: "simulated", blocks: blocks.len(), settled, arms }
+    let results = results.into_inner().expect("no holder panics");
+    let ran: Vec<Ran> = results.into_iter().map(|ran| ran.expect("every run was played")).collect();
+    ran.chunks(arms).map(<[Ran]>::to_vec).collect()
 }
--- /dev/null
+++ b/crates/railhub-membership/src/share.rs
@@ -0,0 +1,192 @@
+//! Whose a slice should be: weighted rendezvous over the stewards that live, so that a steward that comes or goes
+//! moves its own slices and no others; and how fast that is followed, so that nobody is flooded and nothing goes
+//! to and fro.
+use crate::{Seconds, StewardId};
+use std::collections::BTreeMap;
+
+/// Handovers of slices that nobody must have at once, a second: a planned change is in no hurry, and each
+/// handover costs the heir a look at the store and the proxies a delta.
+const HANDOVERS_A_SECOND: f64 = 40.0;
+/// Seconds of handovers that may be saved up.
+const SAVED: Seconds = 0.5;
+/// Seconds a steward must have lived before slices go back to it, times two for each time that it went away of
+/// late, and the most that this may come to.
+const TRUSTED_AFTER: Seconds = 4.0;
+const TRUSTED_AFTER_MOST: Seconds = 120.0;
+/// Seconds after which one going away is forgotten.
+const FORGOTTEN_AFTER: Seconds = 60.0;
+
+/// The steward that a slice falls to; weights are what stewards can bear relative to each other.
+pub fn heir(slice: u16, stewards: &BTreeMap<StewardId, f64>) -> Option<StewardId> {
+    let score = |id: &StewardId, weight: f64| -weight.max(1e-6) / unit(slice, *id).ln();
+    let best = stewards.iter().max_by(|a, b| score(a.0, *a.1).total_cmp(&score(b.0, *b.1)));
+    best.map(|(id, _)| *id)
+}
+
+/// A number between 0 and 1 that depends on slice and steward alone.
+fn unit(slice: u16, steward: StewardId) -> f64 {
+    let mut bits = (u64::from(steward.0) << 32 | u64::from(slice)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^= bits >> 31;
+    ((bits >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// How often a steward went away, decaying.
+#[derive(Clone, Copy, Debug, Default)]
+struct Past {
+    up_since: Option<Seconds>,
+    went: f64,
+    went_at: Seconds,
+}
+
+impl Past {
+    fn went_by(&self, now: Seconds) -> f64 {
+        self.went * (-(now - self.went_at).max(0.0) / FORGOTTEN_AFTER).exp()
+    }
+
+    fn trusted(&self, now: Seconds) -> bool {
+        let Some(since) = self.up_since else { return false };
+        let wait = (TRUSTED_AFTER * (self.went_by(now)).exp2()).min(TRUSTED_AFTER_MOST);
+        // One that was there when we started has no past: nothing is held against it.
+        self.went == 0.0 || now - since >= wait
+    }
+}
+
+/// Which stewards may have slices, and how many slices may change hands now.
+#[derive(Clone, Debug, Default)]
+pub struct Sharing {
+    weights: BTreeMap<StewardId, f64>,
+    past: BTreeMap<StewardId, Past>,
+    draining: BTreeMap<StewardId, bool>,
+    allowance: f64,
+    counted_at: Seconds,
+}
+
+impl Sharing {
+    pub fn new(weights: BTreeMap<StewardId, f64>) -> Sharing {
+        Sharing { weights, ..Sharing::default() }
+    }
+
+    /// What membership says of a steward.
+    pub fn hear(&mut self, now: Seconds, id: StewardId, lives: bool) {
+        let past = self.past.entry(id).or_default();
+        match (past.up_since, lives) {
+            (None, true) => past.up_since = Some(now),
+            (Some(_), false) => {
+                (past.went, past.went_at) = (past.went_by(now) + 1.0, now);
+                past.up_since = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// It is to go: its slices are handed over in order.
+    pub fn drain(&mut self, id: StewardId, drains: bool) {
+        self.draining.insert(id, drains);
+    }
+
+    /// Those that slices fall to. If nobody has earned trust, all that live have to do.
+    pub fn bearers(&self, now: Seconds) -> BTreeMap<StewardId, f64> {
+        let lives = |id: &StewardId| self.past.get(id).is_some_and(|past| past.up_since.is_some());
+        let drains = |id: &StewardId| self.draining.get(id).copied().unwrap_or(false);
+        let trusted = |id: &StewardId| self.past.get(id).is_some_and(|past| past.trusted(now));
+        let of = |pass: &dyn Fn(&StewardId) -> bool| -> BTreeMap<StewardId, f64> {
+            self.weights.iter().filter(|(id, _)| pass(id)).map(|(id, weight)| (*id, *weight)).collect()
+        };
+        let best = of(&|id| lives(id) && trusted(id) && !drains(id));
+        if best.is_empty() {
+            of(&|id| lives(id) && !drains(id))
+        } else {
+            best
+        }
+    }
+
+    /// Whether one more slice may be handed over now; counts it if so.
+    pub fn may_hand_over(&mut self, now: Seconds) -> bool {
+        let earned = (now - self.counted_at).max(0.0) * HANDOVERS_A_SECOND;
+        self.counted_at = self.counted_at.max(now);
+        self.allowance = (self.allowance + earned).min(HANDOVERS_A_SECOND * SAVED);
+        let may = self.allowance >= 1.0;
+        self.allowance -= f64::from(u8::from(may));
+        may
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn stewards(ids: &[u16]) -> BTreeMap<StewardId, f64> {
+        ids.iter().map(|id| (StewardId(*id), 1.0)).collect()
+    }
+
+    #[test]
+    fn slices_are_spread_by_weight() {
+        let mut all = stewards(&[1, 2, 3]);
+        all.insert(StewardId(3), 2.0);
+        let of = |id: u16| (0..4000).filter(|slice| heir(*slice, &all) == Some(StewardId(id))).count();
+        assert!(of(1).abs_diff(1000) < 90 && of(2).abs_diff(1000) < 90, "{} {}", of(1), of(2));
+        assert!(of(3).abs_diff(2000) < 120, "{}", of(3));
+    }
+
+    proptest! {
+        #[test]
+        fn a_steward_that_goes_moves_its_own_slices_and_no_others(ids in prop::collection::btree_set(0..50u16, 2..9), gone in 0..9usize) {
+            let ids: Vec<u16> = ids.into_iter().collect();
+            let gone = StewardId(ids[gone % ids.len()]);
+            let all = stewards(&ids);
+            let mut left = all.clone();
+            left.remove(&gone);
+            for slice in 0..300 {
+                let (before, after) = (heir(slice, &all), heir(slice, &left));
+                prop_assert!(before == Some(gone) || before == after);
+            }
+        }
+    }
+
+    #[test]
+    fn one_that_flaps_gets_no_slices_until_it_has_stood_for_long() {
+        let mut sharing = Sharing::new(stewards(&[1, 2]));
+        sharing.hear(0.0, StewardId(1), true);
+        sharing.hear(0.0, StewardId(2), true);
+        assert_eq!(sharing.bearers(0.0).len(), 2, "at the start nobody has a past");
+        let mut changes = 0;
+        let mut bore = true;
+        for step in 0..40 {
+            // Up and down every 3 s.
+            let now = 10.0 + f64::from(step) * 1.5;
+            sharing.hear(now, StewardId(2), (step / 2) % 2 == 1);
+            let bears = sharing.bearers(now).contains_key(&StewardId(2));
+            changes += usize::from(bears != std::mem::replace(&mut bore, bears));
+        }
+        assert_eq!(changes, 1, "it lost its slices once and got none back");
+        sharing.hear(71.0, StewardId(2), true);
+        assert!(!sharing.bearers(90.0).contains_key(&StewardId(2)));
+        assert!(sharing.bearers(71.0 + TRUSTED_AFTER_MOST).contains_key(&StewardId(2)));
+    }
+
+    #[test]
+    fn when_nobody_has_earned_trust_all_that_live_have_to_do() {
+        let mut sharing = Sharing::new(stewards(&[1, 2]));
+        for id in [1, 2] {
+            sharing.hear(0.0, StewardId(id), true);
+            sharing.hear(1.0, StewardId(id), false);
+            sharing.hear(1.5, StewardId(id), true);
+        }
+        assert_eq!(sharing.bearers(2.0).len(), 2);
+        sharing.drain(StewardId(1), true);
+        assert_eq!(sharing.bearers(2.0).into_keys().collect::<Vec<_>>(), [StewardId(2)]);
+    }
+
+    #[test]
+    fn handovers_are_paced() {
+        let mut sharing = Sharing::new(stewards(&[1]));
+        let counted =
+            |sharing: &mut Sharing, now: f64| (0..1000).filter(|_| sharing.may_hand_over(now)).count();
+        assert_eq!(counted(&mut sharing, 10.0), (HANDOVERS_A_SECOND * SAVED) as usize);
+        assert_eq!(counted(&mut sharing, 10.0), 0);
+        assert_eq!(counted(&mut sharing, 10.25), (HANDOVERS_A_SECOND * 0.25) as usize);
+    }
+}
--- a/crates/railhub-record/src/file.rs
+++ b/crates/railhub-record/src/file.rs
@@ -6,14 +6,17 @@
 use std::io::{BufWriter, Write};
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Sender};
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
+use std::time::Duration;
 use thiserror::Error;
 
 const MAGIC: &[u8; 16] = b"railhub record 1";
 /// Events that may wait for the file; past it the record is marked as broken rather than the run slowed.
 const WAITING: usize = 1 << 20;
+/// Without events for so long, what was written goes to the file, for those who follow it.
+const FLUSH_AFTER: Duration = Duration::from_millis(200);
 /// Bytes one event may have: a delta of the largest size and some room.
 const LONGEST: usize = 8 << 20;
 
@@ -62,7 +65,17 @@
         let waiting = Arc::new(AtomicUsize::new(0));
         let counted = waiting.clone();
         let keeper = std::thread::spawn(move || {
-            while let Ok(Some(event)) = receiver.recv() {
+            loop {
+                let event = match receiver.recv_timeout(FLUSH_AFTER) {
+                    Ok(Some(event)) => event,
+                    Ok(None) | Err(RecvTimeoutError::Disconnected) => break,
+                    Err(RecvTimeoutError::Timeout) => {
+                        if let To::File(name, file) = &mut to {
+                            file.flush().map_err(|e| RecordFault::File(name.clone(), e))?;
+                        }
+                        continue;
+                    }
+                };
                 counted.fetch_sub(1, Ordering::Relaxed);
                 match &mut to {
                     To::Memory(events) => events.push(event),
--- /dev/null
+++ b/crates/railhub-series/src/lines.rs
@@ -0,0 +1,155 @@
+//! Events added up by seconds of the day.
+use railhub_record::{Event, Limits, Outcome, What};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds of a step.
+pub const STEP: f64 = 1.0;
+
+/// Figures by step, from the first operation on.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Lines {
+    /// Gain answered within the contract time over gain asked for, by when operations began; none came: 1.
+    pub service: Vec<f64>,
+    pub operations: Vec<u32>,
+    /// Slices whose heaviest line moved to another host, as the first proxy that learnt of it saw.
+    pub moves: Vec<u32>,
+    /// Lines that were put to 0.
+    pub withdrawals: Vec<u32>,
+    /// Deltas that reached proxies.
+    pub messages: Vec<u32>,
+    /// Deltas ordered and not yet confirmed, at the end of the step.
+    pub owing: Vec<u32>,
+    /// Proxies with a stream, at the end of the step.
+    pub joined: Vec<u32>,
+    /// Hosts whose process runs, at the end of the step.
+    pub hosts: Vec<u32>,
+}
+
+impl Lines {
+    fn of(steps: usize) -> Lines {
+        let none = vec![0; steps];
+        Lines {
+            service: vec![1.0; steps],
+            operations: none.clone(),
+            moves: none.clone(),
+            withdrawals: none.clone(),
+            messages: none.clone(),
+            owing: none.clone(),
+            joined: none.clone(),
+            hosts: none,
+        }
+    }
+
+    pub fn total_moves(&self) -> u64 {
+        self.moves.iter().map(|moves| u64::from(*moves)).sum()
+    }
+}
+
+/// What proxies were told of tables, each word counted once: the first proxy to learn a version tells it.
+#[derive(Default)]
+struct Tables {
+    lines: BTreeMap<u32, BTreeMap<String, f64>>,
+    newest: (u64, u64),
+}
+
+impl Tables {
+    /// Moves and withdrawals that a delta brings.
+    fn take(&mut self, delta: &railhub_proto::Delta) -> (u32, u32) {
+        let version = (delta.incarnation, delta.version);
+        if version <= self.newest && !delta.reset {
+            return (0, 0);
+        }
+        let counts = version > self.newest && !delta.reset;
+        self.newest = self.newest.max(version);
+        let slices: BTreeSet<u32> = delta.lines.iter().map(|line| line.slice).collect();
+        let heads: Vec<Option<String>> = slices.iter().map(|slice| self.heaviest(*slice)).collect();
+        let mut withdrawals = 0;
+        for line in &delta.lines {
+            let table = self.lines.entry(line.slice).or_default();
+            if line.weight > 0.0 {
+                table.insert(line.host.clone(), line.weight);
+            } else if table.remove(&line.host).is_some() {
+                withdrawals += 1;
+            }
+        }
+        let moved = slices.iter().zip(heads).filter(|(slice, head)| {
+            head.is_some() && self.heaviest(**slice).is_some_and(|now| Some(now) != *head)
+        });
+        let moves = moved.count() as u32;
+        if counts {
+            (moves, withdrawals)
+        } else {
+            (0, 0)
+        }
+    }
+
+    fn heaviest(&self, slice: u32) -> Option<String> {
+        let table = self.lines.get(&slice)?;
+        let heaviest = table.iter().max_by(|a, b| a.1.total_cmp(b.1).then(b.0.cmp(a.0)))?;
+        Some(heaviest.0.clone())
+    }
+}
+
+/// Adds a record up. What happened before the first operation counts for what stands, and in no step.
+pub fn over_time(events: &[Event], limits: &Limits) -> Lines {
+    let steps = ((limits.until - limits.from) / STEP).ceil().max(1.0) as usize;
+    let mut lines = Lines::of(steps);
+    let (mut asked, mut answered) = (vec![0.0; steps], vec![0.0; steps]);
+    let mut tables = Tables::default();
+    let (mut owing, mut joined, mut hosts) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+    let mut stood_until = 0;
+    for event in events {
+        let at = (event.at - limits.from) / STEP;
+        let step = (at >= 0.0 && (at as usize) < steps).then_some(at as usize);
+        if let Some(step) = step {
+            stand(&mut lines, stood_until..step, owing.len(), joined.len(), hosts.len());
+            stood_until = stood_until.max(step);
+        }
+        match &event.what {
+            Some(What::Operation(end)) => {
+                let began = ((end.began - limits.from) / STEP).max(0.0) as usize;
+                if began < steps {
+                    let gain = limits.classes.get(end.class as usize).map_or(0.0, |class| class.gain);
+                    lines.operations[began] += 1;
+                    asked[began] += gain;
+                    answered[began] += if end.outcome() == Outcome::Completed { gain } else { 0.0 };
+                }
+            }
+            Some(What::Delta(received)) => {
+                let (moves, withdrawals) = tables.take(&received.delta);
+                owing.insert((received.proxy, received.delta.version));
+                if let Some(step) = step {
+                    lines.moves[step] += moves;
+                    lines.withdrawals[step] += withdrawals;
+                    lines.messages[step] += 1;
+                }
+            }
+            Some(What::Answered(word)) => {
+                owing.retain(|(proxy, version)| *proxy != word.proxy || *version > word.nonce)
+            }
+            Some(What::Stream(stream)) if stream.up => _ = joined.insert(stream.proxy),
+            Some(What::Stream(stream)) => {
+                joined.remove(&stream.proxy);
+                owing.retain(|(proxy, _)| *proxy != stream.proxy);
+            }
+            Some(What::HostUp(up)) => _ = hosts.insert(up.host.clone()),
+            Some(What::HostDown(down)) => _ = hosts.remove(&down.host),
+            _ => {}
+        }
+    }
+    stand(&mut lines, stood_until..steps, owing.len(), joined.len(), hosts.len());
+    for step in (0..steps).filter(|step| asked[*step] > 0.0) {
+        lines.service[step] = answered[step] / asked[step];
+    }
+    lines
+}
+
+/// What stood at the end of steps that are over.
+fn stand(lines: &mut Lines, steps: std::ops::Range<usize>, owing: usize, joined: usize, hosts: usize) {
+    for step in steps {
+        lines.owing[step] = owing as u32;
+        lines.joined[step] = joined as u32;
+        lines.hosts[step] = hosts as u32;
+    }
+}
--- a/crates/railhub-versions/src/lib.rs
+++ b/crates/railhub-versions/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! What a version sees is what the module sees, but for the protocol's whole microseconds.
 pub mod process;
+pub mod variant;
 pub mod wire;
 
 pub use process::{Fault, Version};
--- /dev/null
+++ b/crates/railhub-versions/src/variant.rs
@@ -0,0 +1,138 @@
+//! Builds the module with some of its constants changed, so that a departure can be tried before it is made.
+//! The source is copied; nothing in the tree is touched.
+use std::collections::BTreeMap;
+use std::fs;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use thiserror::Error;
+
+const MODULE: &str = "src/brain.rs";
+const ADAPTER: &str = "crates/railhub-adapter/src";
+
+#[derive(Debug, Error)]
+pub enum VariantFault {
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    #[error("{MODULE} has no constant {0}")]
+    Unknown(String),
+    #[error("the variant does not build: {0}")]
+    Build(String),
+}
+
+fn at<T>(path: &Path, done: std::io::Result<T>) -> Result<T, VariantFault> {
+    done.map_err(|error| VariantFault::File(path.display().to_string(), error))
+}
+
+/// The module's text with constants changed; a constant is a line `const NAME: TYPE = VALUE;`.
+pub fn changed(module: &str, constants: &BTreeMap<String, String>) -> Result<String, VariantFault> {
+    let mut left = constants.clone();
+    let mut line = |text: &str| -> String {
+        let declared = text.strip_prefix("const ").and_then(|rest| rest.split_once(':'));
+        let value = declared.and_then(|(name, _)| left.remove(name.trim()));
+        match (value, text.split_once('=')) {
+            (Some(value), Some((before, _))) => format!("{before}= {value};"),
+            _ => text.to_owned(),
+        }
+    };
+    let text = module.lines().map(&mut line).collect::<Vec<_>>().join("\n") + "\n";
+    match left.into_keys().next() {
+        Some(unknown) => Err(VariantFault::Unknown(unknown)),
+        None => Ok(text),
+    }
+}
+
+/// The adapter's program with such constants. `source`: the tree; `folder`: where variants are kept, one folder
+/// for each text, so that what is built once is built.
+pub fn build(
+    source: &Path,
+    folder: &Path,
+    constants: &BTreeMap<String, String>,
+) -> Result<PathBuf, VariantFault> {
+    let module = source.join(MODULE);
+    let text = changed(&at(&module, fs::read_to_string(&module))?, constants)?;
+    let mut files = vec![("src/brain.rs".to_owned(), text)];
+    for (folder, prefix) in [("src", "src"), (ADAPTER, "adapter/src")] {
+        let folder = source.join(folder);
+        let mut entries: Vec<PathBuf> =
+            at(&folder, fs::read_dir(&folder))?.filter_map(Result::ok).map(|entry| entry.path()).collect();
+        entries.sort();
+        for path in entries.into_iter().filter(|path| path.extension().is_some_and(|e| e == "rs")) {
+            let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+            if (prefix, name.as_str()) != ("src", "brain.rs") {
+                files.push((format!("{prefix}/{name}"), at(&path, fs::read_to_string(&path))?));
+            }
+        }
+    }
+    files.extend(manifests());
+    let mut hasher = DefaultHasher::new();
+    files.hash(&mut hasher);
+    let home = folder.join(format!("{:016x}", hasher.finish()));
+    for (name, text) in &files {
+        let path = home.join(name);
+        let parent = path.parent().unwrap_or(&home);
+        at(parent, fs::create_dir_all(parent))?;
+        at(&path, fs::write(&path, text))?;
+    }
+    let program = home.join("target/release/railhub-adapter");
+    if !program.is_file() {
+        compile(&home)?;
+    }
+    Ok(program)
+}
+
+/// The copy stands alone: a workspace of its own, and nothing to fetch.
+fn manifests() -> [(String, String); 2] {
+    let package = "version = \"0.0.0\"\nedition = \"2021\"\n";
+    let root =
+        format!("[workspace]\nmembers = [\".\", \"adapter\"]\n[package]\nname = \"railhub\"\n{package}");
+    let adapter = format!(
+        "[package]\nname = \"railhub-adapter\"\n{package}[dependencies]\nrailhub = {{ path = \"..\" }}\n"
+    );
+    [("Cargo.toml".to_owned(), root), ("adapter/Cargo.toml".to_owned(), adapter)]
+}
+
+fn compile(home: &Path) -> Result<(), VariantFault> {
+    let cargo = std::env::var_os("CARGO").unwrap_or("cargo".into());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--release", "--offline", "-p", "railhub-adapter", "--target-dir", "target"]);
+    let built = command.current_dir(home).output();
+    let built = built.map_err(|error| VariantFault::Build(format!("cargo cannot be started: {error}")))?;
+    if built.status.success() {
+        return Ok(());
+    }
+    let words = String::from_utf8_lossy(&built.stderr).into_owned();
+    let fault = words.lines().find(|line| line.starts_with("error")).unwrap_or("it failed").to_owned();
+    Err(VariantFault::Build(fault))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str =
+        "/// How many.\nconst A: usize = 2;\nconst AB: f64 = 0.5;\nfn f() -> usize {\n    A\n}\n";
+
+    #[test]
+    fn a_constant_is_changed_and_nothing_else() {
+        let constants = BTreeMap::from([("A".to_owned(), "6".to_owned())]);
+        let text = changed(TEXT, &constants).expect("known");
+        assert_eq!(text, TEXT.replace("usize = 2;", "usize = 6;"));
+        let unknown = BTreeMap::from([("B".to_owned(), "6".to_owned())]);
+        assert_eq!(
+            changed(TEXT, &unknown).expect_err("unknown").to_string(),
+            "src/brain.rs has no constant B"
+        );
+    }
+
+    #[test]
+    fn the_module_has_the_constants_that_experiments_change() {
+        let module = include_str!("../../../src/brain.rs");
+        let constants = ["RETURNS_PER_TURN", "GAP"].map(|name| (name.to_owned(), "9.0".to_owned()));
+        let text = changed(module, &constants.into_iter().collect()).expect("known");
+        assert!(
+            text.contains("const GAP: f64 = 9.0;") && text.contains("const RETURNS_PER_TURN: usize = 9.0;")
+        );
+        assert_eq!(text.lines().count(), module.lines().count());
+    }
+}
--- /dev/null
+++ b/crates/railhub-watch/src/scene.rs
@@ -0,0 +1,246 @@
+//! What stands at a moment of a run, out of the events up to it.
+use railhub_proto::Again;
+use railhub_record::{Event, Limits, Listed, Outcome, What};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Seconds after which a try counts for 1/e in a host's rate.
+const MEMORY: f64 = 3.0;
+/// Seconds of service that are kept to be drawn.
+const LINE: usize = 120;
+/// Happenings that are kept to be read.
+const TOLD: usize = 12;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    #[default]
+    Ready,
+    Cold,
+    Draining,
+    Gone,
+    /// Its process has ended, the list does not know yet.
+    Down,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct HostSight {
+    pub zone: u32,
+    pub standing: Standing,
+    /// Core seconds a second at speed 1, and what its cores can do.
+    pub work: f64,
+    pub power: f64,
+    work_at: f64,
+    /// Slices whose heaviest line it is.
+    pub slices: usize,
+    pub shut: bool,
+    warm_at: f64,
+    runs: bool,
+    listed: Option<Listed>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct LevelSight {
+    pub class: String,
+    pub share: f64,
+    pub second_try: &'static str,
+}
+
+/// One second of service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Second {
+    asked: f64,
+    answered: f64,
+    operations: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Scene {
+    pub limits: Option<Limits>,
+    /// Seconds of the day; before its first operation below 0.
+    pub now: f64,
+    pub hosts: BTreeMap<String, HostSight>,
+    pub levels: BTreeMap<u32, LevelSight>,
+    pub joined: BTreeSet<u32>,
+    /// Deltas ordered and not confirmed, by proxy, with their lines.
+    owing: BTreeMap<(u32, u64), usize>,
+    pub steward_up: bool,
+    pub version: u64,
+    pub withdrawals: u64,
+    pub moves: u64,
+    pub messages: u64,
+    pub troubles: BTreeSet<String>,
+    pub told: VecDeque<(f64, String)>,
+    pub outcomes: BTreeMap<Outcome, u64>,
+    tables: BTreeMap<u32, BTreeMap<String, f64>>,
+    newest: (u64, u64),
+    seconds: BTreeMap<i64, Second>,
+}
+
+impl Scene {
+    pub fn take(&mut self, event: &Event) {
+        let at = event.at - self.limits.as_ref().map_or(event.at, |limits| limits.from);
+        // Events of several writers come a little out of order.
+        self.now = self.now.max(at);
+        let Some(what) = &event.what else { return };
+        match what {
+            What::Limits(limits) => {
+                self.now = -limits.from.min(1e9);
+                self.limits = Some(limits.clone());
+            }
+            What::HostUp(up) => {
+                let host = self.hosts.entry(up.host.clone()).or_default();
+                (host.zone, host.power, host.runs) = (up.zone, up.cores * up.speed, true);
+                host.warm_at = if up.cold { at + up.warm_after } else { f64::NEG_INFINITY };
+            }
+            What::HostDown(down) => self.hosts.entry(down.host.clone()).or_default().runs = false,
+            What::Roster(roster) => {
+                for entry in &roster.entries {
+                    self.hosts.entry(entry.host.clone()).or_default().listed = Some(entry.listed());
+                }
+            }
+            What::Stream(stream) if stream.up => _ = self.joined.insert(stream.proxy),
+            What::Stream(stream) => {
+                self.joined.remove(&stream.proxy);
+                self.owing.retain(|(proxy, _), _| *proxy != stream.proxy);
+            }
+            What::Delta(received) => self.take_delta(received.proxy, &received.delta),
+            What::Answered(word) => {
+                self.owing.retain(|(proxy, version), _| *proxy != word.proxy || *version > word.nonce);
+            }
+            What::Try(tried) => {
+                let host = self.hosts.entry(tried.host.clone()).or_default();
+                host.work = host.work_by(at) + tried.work / MEMORY;
+                host.work_at = at;
+            }
+            What::Operation(end) => {
+                *self.outcomes.entry(end.outcome()).or_default() += 1;
+                let Some(limits) = &self.limits else { return };
+                let gain = limits.classes.get(end.class as usize).map_or(0.0, |class| class.gain);
+                let second = self.seconds.entry((end.began - limits.from).floor() as i64).or_default();
+                second.asked += gain;
+                second.answered += if end.outcome() == Outcome::Completed { gain } else { 0.0 };
+                second.operations += 1;
+                if self.seconds.len() > LINE {
+                    self.seconds.pop_first();
+                }
+            }
+            What::Trouble(trouble) => {
+                let name = trouble.name.clone();
+                self.tell(at, format!("{name} {}", if trouble.on { "begins" } else { "ends" }));
+                if trouble.on {
+                    self.troubles.insert(name);
+                } else {
+                    self.troubles.remove(&name);
+                }
+            }
+            What::StewardLife(life) => {
+                self.steward_up = life.up;
+                self.tell(at, format!("the steward {}", if life.up { "starts" } else { "is killed" }));
+            }
+            What::TryEnd(_) | What::Effect(_) => {}
+        }
+    }
+
+    fn tell(&mut self, at: f64, what: String) {
+        self.told.push_back((at, what));
+        if self.told.len() > TOLD {
+            self.told.pop_front();
+        }
+    }
+
+    fn take_delta(&mut self, proxy: u32, delta: &railhub_proto::Delta) {
+        self.messages += 1;
+        let lines = delta.lines.len() + delta.levels.len() + delta.shut.len();
+        self.owing.insert((proxy, delta.version), lines);
+        let version = (delta.incarnation, delta.version);
+        if version <= self.newest {
+            return;
+        }
+        (self.newest, self.version) = (version, delta.version);
+        let heads: BTreeMap<u32, Option<String>> =
+            delta.lines.iter().map(|line| (line.slice, self.heaviest(line.slice))).collect();
+        for line in &delta.lines {
+            let table = self.tables.entry(line.slice).or_default();
+            if line.weight > 0.0 {
+                table.insert(line.host.clone(), line.weight);
+            } else if table.remove(&line.host).is_some() {
+                self.withdrawals += 1;
+            }
+        }
+        let moved = heads.iter().filter(|(slice, head)| head.is_some() && self.heaviest(**slice) != **head);
+        self.moves += moved.count() as u64;
+        for level in &delta.levels {
+            let class = self.limits.as_ref().and_then(|limits| limits.classes.get(level.class as usize));
+            let class = class.map_or_else(|| level.class.to_string(), |class| class.name.clone());
+            let second_try = match level.again() {
+                Again::Never => "no second try",
+                Again::IfNeverRan => "if it never ran",
+                Again::AfterFailure => "after a failure",
+            };
+            self.levels.insert(level.class, LevelSight { class, share: level.share, second_try });
+        }
+        for shut in &delta.shut {
+            self.hosts.entry(shut.host.clone()).or_default().shut = shut.out;
+        }
+        self.count_slices();
+    }
+
+    fn heaviest(&self, slice: u32) -> Option<String> {
+        let table = self.tables.get(&slice)?;
+        let heaviest = table.iter().max_by(|a, b| a.1.total_cmp(b.1).then(b.0.cmp(a.0)))?;
+        Some(heaviest.0.clone())
+    }
+
+    fn count_slices(&mut self) {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for head in self.tables.keys().filter_map(|slice| self.heaviest(*slice)) {
+            *counts.entry(head).or_default() += 1;
+        }
+        for (name, host) in &mut self.hosts {
+            host.slices = counts.get(name).copied().unwrap_or(0);
+        }
+    }
+
+    /// Deltas under way, and their lines.
+    pub fn backlog(&self) -> (usize, usize) {
+        (self.owing.len(), self.owing.values().sum())
+    }
+
+    /// Service of the seconds that are kept, the newest last; operations that came in the newest whole one.
+    /// The last seconds are left out: what came in them has not ended.
+    pub fn service(&self) -> (Vec<(f64, f64)>, u32) {
+        let stop = self
+            .limits
+            .as_ref()
+            .map_or(0.0, |limits| limits.classes.iter().map(|class| class.contract_time).fold(0.0, f64::max));
+        let whole = |second: &i64| (*second + 1) as f64 + stop <= self.now;
+        let known: Vec<_> = self.seconds.iter().filter(|(at, _)| whole(at)).collect();
+        let line = known.iter().filter(|(_, second)| second.asked > 0.0);
+        let line = line.map(|(at, second)| (**at as f64, second.answered / second.asked)).collect();
+        (line, known.last().map_or(0, |(_, second)| second.operations))
+    }
+}
+
+impl HostSight {
+    fn work_by(&self, now: f64) -> f64 {
+        self.work * (-(now - self.work_at).max(0.0) / MEMORY).exp()
+    }
+
+    /// Work asked for of late over what its cores can do.
+    pub fn load(&self, now: f64) -> f64 {
+        if self.power > 0.0 {
+            self.work_by(now) / self.power
+        } else {
+            0.0
+        }
+    }
+
+    pub fn standing(&self, now: f64) -> Standing {
+        match self.listed {
+            Some(Listed::Gone) => Standing::Gone,
+            _ if !self.runs => Standing::Down,
+            Some(Listed::Draining) => Standing::Draining,
+            _ if self.warm_at > now => Standing::Cold,
+            _ => Standing::Ready,
+        }
+    }
+}
