Stewards that share slices, by leases with epochs, under random faults

Several stewards must share a fleet and take over from each other without any proxy obeying two for one slice.

railhub-membership: 'office' puts membership, sharing and leases together for one steward, free of I/O and clocks. railhub-chaos plays offices, a store and fencing proxies in simulated time: kills, pauses of 1, 5 and 30 s, cuts, splits, a store away or slow, clocks that drift and jump, drains, flapping. Its checker knows no leases; failing seeds replay and are shrunk.

--- /dev/null
+++ b/crates/railhub-chaos/src/faults.rs
@@ -0,0 +1,139 @@
+//! What goes wrong in a run: drawn from a seed within what a file allows.
+use railhub_ini::{Complaint, Sheet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::path::Path;
+
+/// Seconds at the start without faults, so that all slices are held once, and at the end.
+const CALM: f64 = 6.0;
+/// Seconds that stewards are paused for: below a lease, above it, far above it.
+const PAUSES: [f64; 3] = [1.0, 5.0, 30.0];
+/// Share that clocks run fast or slow at the most, and seconds they jump.
+const DRIFT: f64 = 0.05;
+const JUMP: f64 = 20.0;
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// The process ends, and starts again after the fault's time.
+    Kill {
+        steward: u16,
+    },
+    /// The process stands still, and goes on as if nothing had been.
+    Pause {
+        steward: u16,
+    },
+    /// Nothing passes from one to the other.
+    Cut {
+        from: u16,
+        to: u16,
+    },
+    /// Two sides that cannot reach each other: those whose bit is set, and the rest.
+    Split {
+        side: u32,
+    },
+    StoreAway,
+    /// Each answer of the store takes so many seconds more.
+    StoreSlow {
+        by: f64,
+    },
+    /// This steward's clock runs so much faster, or slower below 0.
+    Drift {
+        steward: u16,
+        by: f64,
+    },
+    Jump {
+        steward: u16,
+        by: f64,
+    },
+    /// Orders of this steward to proxies take so many seconds more.
+    SlowOrders {
+        steward: u16,
+        by: f64,
+    },
+    Drain {
+        steward: u16,
+    },
+    /// Up and down every three seconds.
+    Flap {
+        steward: u16,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Fault {
+    /// Seconds.
+    pub at: f64,
+    pub long: f64,
+    pub what: What,
+}
+
+/// A file's chaos: sizes, and how much goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chaos {
+    pub name: String,
+    pub stewards: u16,
+    pub slices: u16,
+    pub proxies: u16,
+    /// Seconds of a run, and of a lease.
+    pub length: f64,
+    pub span: f64,
+    pub faults_most: usize,
+    /// Share of messages between stewards that are lost.
+    pub lost: f64,
+}
+
+impl Chaos {
+    pub fn open(path: &Path) -> Result<Chaos, Complaint> {
+        Chaos::read(&Sheet::open(path)?)
+    }
+
+    pub fn read(sheet: &Sheet) -> Result<Chaos, Complaint> {
+        sheet.only(|name| name == "chaos")?;
+        let section = sheet.section("chaos");
+        let chaos = Chaos {
+            name: section.or("name", "unnamed".to_owned())?,
+            stewards: section.within("stewards", 3.0, 1.0, 32.0)? as u16,
+            slices: section.within("slices", 48.0, 1.0, 10_000.0)? as u16,
+            proxies: section.within("proxies", 6.0, 1.0, 1000.0)? as u16,
+            length: section.within("length", 60.0, 20.0, 3600.0)?,
+            span: section.within("span", 3.0, 0.5, 60.0)?,
+            faults_most: section.within("faults_most", 5.0, 0.0, 100.0)? as usize,
+            lost: section.within("lost", 0.01, 0.0, 0.5)?,
+        };
+        section.done()?;
+        Ok(chaos)
+    }
+
+    /// The faults of a seed, in order.
+    pub fn faults(&self, seed: u64) -> Vec<Fault> {
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let count = chance.random_range(0..=self.faults_most);
+        let mut faults: Vec<Fault> = (0..count).map(|_| self.fault(&mut chance)).collect();
+        faults.sort_by(|a, b| a.at.total_cmp(&b.at));
+        faults
+    }
+
+    fn fault(&self, chance: &mut ChaCha8Rng) -> Fault {
+        let at = CALM + chance.random::<f64>() * (self.length - 2.0 * CALM).max(0.0);
+        let usual = 1.0 + chance.random::<f64>() * 9.0;
+        let steward = chance.random_range(0..self.stewards);
+        let other = chance.random_range(0..self.stewards);
+        let part = chance.random::<f64>() * 2.0 - 1.0;
+        let (long, what) = match chance.random_range(0..12u32) {
+            0 | 1 => (usual, What::Kill { steward }),
+            2 | 3 => (PAUSES[chance.random_range(0..PAUSES.len())], What::Pause { steward }),
+            4 => (usual, What::Cut { from: steward, to: other }),
+            5 => (usual, What::Split { side: chance.random_range(1..(1u32 << self.stewards).max(2)) }),
+            6 => (usual, What::StoreAway),
+            7 => (usual, What::StoreSlow { by: 0.1 + 0.7 * part.abs() }),
+            8 => (self.length, What::Drift { steward, by: DRIFT * part }),
+            9 => (0.0, What::Jump { steward, by: JUMP * part }),
+            10 => (usual, What::SlowOrders { steward, by: 3.0 * part.abs() }),
+            _ if part < 0.0 => (usual, What::Flap { steward }),
+            _ => (0.0, What::Drain { steward }),
+        };
+        Fault { at, long, what }
+    }
+}
--- /dev/null
+++ b/crates/railhub-chaos/src/shrink.rs
@@ -0,0 +1,30 @@
+//! Makes a failing run small: faults are left out one by one as long as it still fails.
+use crate::faults::{Chaos, Fault};
+use crate::judge::{judge, Breach};
+use crate::world::{run, Sabotage};
+
+/// The fewest of the faults with which the run still breaks the same rule, and what it breaks then.
+pub fn shrink(
+    chaos: &Chaos,
+    seed: u64,
+    faults: &[Fault],
+    sabotage: Option<Sabotage>,
+    rule: &str,
+) -> (Vec<Fault>, Vec<Breach>) {
+    let breaks = |faults: &[Fault]| {
+        let breaches = judge(&run(chaos, seed, faults, sabotage));
+        breaches.iter().any(|breach| breach.rule == rule).then_some(breaches)
+    };
+    let mut left = faults.to_vec();
+    let mut found = breaks(&left).unwrap_or_default();
+    let mut place = 0;
+    while place < left.len() {
+        let mut fewer = left.clone();
+        fewer.remove(place);
+        match breaks(&fewer) {
+            Some(breaches) => (left, found) = (fewer, breaches),
+            None => place += 1,
+        }
+    }
+    (left, found)
+}
--- /dev/null
+++ b/crates/railhub-cli/src/chaos.rs
@@ -0,0 +1,167 @@
+//! `railhub chaos`: stewards that share a fleet, with faults drawn from seeds.
+use crate::Ending;
+use clap::{Args, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use railhub_chaos::judge::{figures, judge, Breach};
+use railhub_chaos::shrink::shrink;
+use railhub_chaos::{run as play, Chaos, Fault, Sabotage};
+use serde::Serialize;
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+#[derive(Args)]
+pub struct ChaosArguments {
+    /// Sizes, and how much goes wrong, INI.
+    file: PathBuf,
+    /// The first seed.
+    #[arg(long, default_value_t = 0)]
+    seed: u64,
+    /// Runs, one a seed.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..10_000_000))]
+    runs: u64,
+    /// Breaks what the rules rest on: the checker must find it.
+    #[arg(long, value_enum)]
+    sabotage: Option<Broken>,
+    /// One JSON object on standard output.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Broken {
+    /// Proxies obey whatever comes.
+    NoFence,
+    /// The store grants under an epoch that it has used.
+    EpochReused,
+    /// Stewards order on when their leases are over.
+    LeaseOverrun,
+    /// Proxies take an order that is sent again once more.
+    NoMemory,
+}
+
+impl Broken {
+    fn how(self) -> Sabotage {
+        match self {
+            Broken::NoFence => Sabotage::NoFence,
+            Broken::EpochReused => Sabotage::EpochReused,
+            Broken::LeaseOverrun => Sabotage::LeaseOverrun,
+            Broken::NoMemory => Sabotage::NoMemory,
+        }
+    }
+}
+
+/// A run that broke a rule, with no more faults than it takes.
+#[derive(Serialize)]
+struct Failed {
+    seed: u64,
+    breaches: Vec<Breach>,
+    faults: Vec<Fault>,
+}
+
+#[derive(Serialize)]
+struct Told {
+    chaos: String,
+    how: &'static str,
+    first_seed: u64,
+    runs: u64,
+    failed: u64,
+    /// The one with the lowest seed.
+    first: Option<Failed>,
+    /// Seconds from a steward's death until its slices were decided again; a multiple of the lease's span.
+    taken_up: u64,
+    taken_up_half: Option<f64>,
+    taken_up_99: Option<f64>,
+    span: f64,
+}
+
+pub fn run(arguments: &ChaosArguments) -> Result<(), Ending> {
+    let chaos = Chaos::open(&arguments.file)?;
+    let sabotage = arguments.sabotage.map(Broken::how);
+    let bar = match std::io::stderr().is_terminal() {
+        true => ProgressBar::new(arguments.runs),
+        false => ProgressBar::hidden(),
+    };
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} left");
+    let bar = bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let (next, failed, taken_up) = (AtomicU64::new(0), Mutex::new(Vec::new()), Mutex::new(Vec::new()));
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= arguments.runs {
+                    return;
+                }
+                let seed = arguments.seed + number;
+                let events = play(&chaos, seed, &chaos.faults(seed), sabotage);
+                taken_up.lock().expect("no holder panics").extend(figures(&events).taken_up);
+                if !judge(&events).is_empty() {
+                    failed.lock().expect("no holder panics").push(seed);
+                }
+                bar.inc(1);
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let mut failed: Vec<u64> = failed.into_inner().expect("no holder panics");
+    failed.sort_unstable();
+    let mut taken_up: Vec<f64> = taken_up.into_inner().expect("no holder panics");
+    taken_up.sort_by(f64::total_cmp);
+    let at =
+        |share: f64| taken_up.get(((taken_up.len().max(1) - 1) as f64 * share).round() as usize).copied();
+    let told = Told {
+        chaos: chaos.name.clone(),
+        how: "simulated",
+        first_seed: arguments.seed,
+        runs: arguments.runs,
+        failed: failed.len() as u64,
+        first: failed.first().map(|seed| small(&chaos, *seed, sabotage)),
+        taken_up: taken_up.len() as u64,
+        taken_up_half: at(0.5),
+        taken_up_99: at(0.99),
+        span: chaos.span,
+    };
+    if arguments.json {
+        println!("{}", serde_json::to_string(&told)?);
+    } else {
+        print!("{}", words(&told));
+    }
+    if told.failed == 0 {
+        Ok(())
+    } else {
+        Err(Ending::Check)
+    }
+}
+
+fn small(chaos: &Chaos, seed: u64, sabotage: Option<Sabotage>) -> Failed {
+    let faults = chaos.faults(seed);
+    let breaches = judge(&play(chaos, seed, &faults, sabotage));
+    let rule = breaches.first().map_or("", |breach| breach.rule);
+    let (faults, breaches) = shrink(chaos, seed, &faults, sabotage, rule);
+    Failed { seed, breaches, faults }
+}
+
+fn words(told: &Told) -> String {
+    let last = told.first_seed + told.runs - 1;
+    let mut out = format!("{}, {}, seeds {} to {last}\n", told.chaos, told.how, told.first_seed);
+    if let (Some(half), Some(of_99)) = (told.taken_up_half, told.taken_up_99) {
+        out += &format!(
+            "{} slices of dead stewards decided again: half within {half:.2} s, 99 % within {of_99:.2} s (a lease is {} s)\n",
+            told.taken_up, told.span
+        );
+    }
+    out += &format!("{} of {} runs broke a rule\n", told.failed, told.runs);
+    if let Some(first) = &told.first {
+        out += &format!("seed {}:\n", first.seed);
+        for breach in &first.breaches {
+            out += &format!("  {:.3} s: {}: {}\n", breach.at, breach.rule, breach.what);
+        }
+        out += &format!("with no more than {} faults:\n", first.faults.len());
+        for fault in &first.faults {
+            out += &format!("  {:.2} s, for {:.2} s: {:?}\n", fault.at, fault.long, fault.what);
+        }
+    }
+    out
+}
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `railhub`: the steward, scripted days, and the checker. Results go to standard output, logs to standard
 //! error; exit 0 good, 2 bad usage or input, 3 a rule broke or a check failed.
+mod chaos;
 mod compare;
 mod day;
 mod launch;
@@ -47,6 +48,8 @@
     Compare(compare::CompareArguments),
     /// Recorded operations: takes, shows, fits, cuts and scales them.
     Traffic(traffic::TrafficArguments),
+    /// Plays stewards that share a fleet, with faults drawn from seeds, and judges what they order.
+    Chaos(chaos::ChaosArguments),
     /// Shows a running day, a finished record or an experiment's folder in the terminal.
     Watch(watch::WatchArguments),
     /// What `day` says of a run, from its record alone: service, its changes, rules.
@@ -94,6 +97,7 @@
         Command::Model(given) => model::run(&given),
         Command::Compare(given) => compare::run(&given),
         Command::Traffic(given) => traffic::run(&given),
+        Command::Chaos(given) => chaos::run(&given),
         Command::Watch(given) => watch::run(&given),
         Command::Report(given) => day::report(&given),
         Command::Check(given) => day::check(&given),
--- a/crates/railhub-membership/src/lib.rs
+++ b/crates/railhub-membership/src/lib.rs
@@ -3,6 +3,7 @@
 //! keeps every steward from ordering anything past its grant. No I/O, no clock: times are passed in, messages are
 //! given back. The running steward and the chaos model drive the same code.
 pub mod lease;
+pub mod office;
 pub mod share;
 pub mod swim;
 
--- /dev/null
+++ b/crates/railhub-membership/src/office.rs
@@ -0,0 +1,205 @@
+//! One steward's part in sharing a fleet: it hears from the others and from the store, and says what to send, which
+//! slices it has gained and which it has lost. All that it may order it asks [`Office::may_order`], each time.
+use crate::lease::Leases;
+use crate::share::{heir, Sharing};
+use crate::swim::{Changed, Members, Message};
+use crate::{Epoch, Seconds, StewardId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds between two questions to the store while something is wanted, and until one without an answer is
+/// given up.
+const ASK_EVERY: Seconds = 0.2;
+const ANSWER_WITHIN: Seconds = 1.0;
+/// Slices named in one question: an answer brings their tables, and a takeover must not come in one lump.
+const TAKEN_AT_ONCE: usize = 256;
+/// Seconds that a store's refusal stands: what another holds is not asked for again at once.
+const REFUSED_FOR: Seconds = 0.4;
+
+/// What a steward asks the store; all of it in one step, or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StoreAsk {
+    pub number: u64,
+    pub process: u64,
+    pub span: Seconds,
+    pub take: Vec<u16>,
+    pub renew: Vec<(u16, Epoch)>,
+    pub release: Vec<(u16, Epoch)>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StoreSays {
+    pub number: u64,
+    /// Taken or renewed.
+    pub granted: Vec<(u16, Epoch)>,
+    /// Held by another.
+    pub refused: Vec<u16>,
+}
+
+/// What follows from something heard.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Acts {
+    pub mail: Vec<(StewardId, Message)>,
+    pub ask: Option<StoreAsk>,
+    pub gained: Vec<(u16, Epoch)>,
+    pub lost: Vec<u16>,
+    pub changed: Vec<Changed>,
+}
+
+pub struct Office {
+    me: StewardId,
+    process: u64,
+    slices: u16,
+    members: Members,
+    sharing: Sharing,
+    leases: Leases,
+    number: u64,
+    /// The question that is out, and since when.
+    asked: Option<(u64, Seconds)>,
+    ask_at: Seconds,
+    refused: BTreeMap<u16, Seconds>,
+    drains: bool,
+}
+
+/// What an office is given at its start.
+pub struct Seat<'a> {
+    pub me: StewardId,
+    /// Tells this process from all others; higher than those of earlier processes of the same steward.
+    pub process: u64,
+    /// All stewards of the installation with what they can bear.
+    pub weights: &'a BTreeMap<StewardId, f64>,
+    pub slices: u16,
+    /// Seconds that a lease is granted for.
+    pub span: Seconds,
+    pub seed: u64,
+}
+
+impl Office {
+    pub fn new(seat: &Seat, now: Seconds) -> Office {
+        let others: Vec<StewardId> = seat.weights.keys().copied().collect();
+        let mut sharing = Sharing::new(seat.weights.clone());
+        others.iter().for_each(|id| sharing.hear(now, *id, true));
+        Office {
+            me: seat.me,
+            process: seat.process,
+            slices: seat.slices,
+            members: Members::new(seat.me, &others, seat.process, now, seat.seed),
+            sharing,
+            leases: Leases::new(seat.span),
+            number: 0,
+            asked: None,
+            ask_at: now,
+            refused: BTreeMap::new(),
+            drains: false,
+        }
+    }
+
+    /// The epoch under which a slice may be ordered at this moment, if it may be.
+    pub fn may_order(&self, now: Seconds, slice: u16) -> Option<Epoch> {
+        self.leases.may_order(now, slice)
+    }
+
+    pub fn held(&self) -> impl Iterator<Item = (u16, Epoch)> + '_ {
+        self.leases.held()
+    }
+
+    /// It is to go: its slices are handed over, and nothing new is taken.
+    pub fn drain(&mut self) {
+        self.drains = true;
+        self.members.drain();
+        self.sharing.drain(self.me, true);
+    }
+
+    pub fn is_drained(&self) -> bool {
+        self.drains && self.leases.count() == 0
+    }
+
+    pub fn hear(&mut self, now: Seconds, from: StewardId, message: &Message) -> Acts {
+        let (mail, changed) = self.members.hear(now, from, message);
+        self.follow(now, &changed);
+        Acts { mail, changed, ..Acts::default() }
+    }
+
+    fn follow(&mut self, now: Seconds, changed: &[Changed]) {
+        for change in changed {
+            self.sharing.hear(now, change.about, self.members.may_bear(change.about));
+            self.sharing.drain(change.about, self.members.drains(change.about));
+        }
+        self.sharing.hear(now, self.me, self.members.may_bear(self.me));
+    }
+
+    pub fn tick(&mut self, now: Seconds) -> Acts {
+        // Before anything else: what a pause or a store that was away has cost.
+        let mut acts = Acts { lost: self.leases.lapse(now), ..Acts::default() };
+        (acts.mail, acts.changed) = self.members.tick(now);
+        self.follow(now, &acts.changed);
+        if self.asked.is_some_and(|(_, at)| now - at > ANSWER_WITHIN) {
+            self.asked = None;
+        }
+        if self.asked.is_none() && now >= self.ask_at {
+            acts.ask = self.question(now, &mut acts.lost);
+        }
+        acts
+    }
+
+    fn question(&mut self, now: Seconds, lost: &mut Vec<u16>) -> Option<StoreAsk> {
+        let bearers = self.sharing.bearers(now);
+        let ours = |slice: u16| heir(slice, &bearers) == Some(self.me);
+        let held: BTreeSet<u16> = self.leases.held().map(|(slice, _)| slice).collect();
+        let refused = |slice: &u16| self.refused.get(slice).is_some_and(|at| now - at < REFUSED_FOR);
+        let wanted =
+            (0..self.slices).filter(|slice| !held.contains(slice) && ours(*slice) && !refused(slice));
+        let take: Vec<u16> = wanted.take(TAKEN_AT_ONCE).collect();
+        // Without anyone to give them to, slices are kept: a poor steward is better than none.
+        let to_give: Vec<u16> =
+            held.iter().copied().filter(|slice| !bearers.is_empty() && !ours(*slice)).collect();
+        let mut release = Vec::new();
+        for slice in to_give {
+            if !self.sharing.may_hand_over(now) {
+                break;
+            }
+            if let Some(epoch) = self.leases.give_up(slice) {
+                release.push((slice, epoch));
+                lost.push(slice);
+            }
+        }
+        let renews = now >= self.leases.renew_at();
+        let renew: Vec<(u16, Epoch)> = if renews { self.leases.held().collect() } else { Vec::new() };
+        self.ask_at = now + ASK_EVERY;
+        if take.is_empty() && renew.is_empty() && release.is_empty() {
+            return None;
+        }
+        self.number += 1;
+        self.asked = Some((self.number, now));
+        let (number, process, span) = (self.number, self.process, self.leases.span());
+        Some(StoreAsk { number, process, span, take, renew, release })
+    }
+
+    /// The store's answer. One to a question that was given up still counts from when that was asked: it is known
+    /// only for the question that is out, so a late one is left alone, and the store's grant lapses unused.
+    pub fn store_says(&mut self, now: Seconds, says: &StoreSays) -> Acts {
+        let Some((number, asked)) = self.asked.filter(|asked| asked.0 == says.number) else {
+            return Acts::default();
+        };
+        debug_assert_eq!(number, says.number);
+        self.asked = None;
+        let before: BTreeMap<u16, Epoch> = self.leases.held().collect();
+        self.leases.granted(now, asked, &says.granted);
+        self.leases.refused(&says.refused);
+        self.refused.retain(|_, at| now - *at < REFUSED_FOR);
+        self.refused.extend(says.refused.iter().map(|slice| (*slice, now)));
+        let after: BTreeMap<u16, Epoch> = self.leases.held().collect();
+        let gained = after.iter().filter(|(slice, epoch)| before.get(slice) != Some(epoch));
+        Acts {
+            gained: gained.map(|(slice, epoch)| (*slice, *epoch)).collect(),
+            lost: before.into_keys().filter(|slice| !after.contains_key(slice)).collect(),
+            ..Acts::default()
+        }
+    }
+
+    /// When [`Office::tick`] wants to be called next.
+    pub fn next_at(&self, now: Seconds) -> Seconds {
+        let ask = if self.asked.is_none() { self.ask_at.max(now + 0.01) } else { f64::INFINITY };
+        self.members.next_at().min(ask).min(self.leases.first_end().unwrap_or(f64::INFINITY)).max(now + 0.005)
+    }
+}
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -77,6 +77,8 @@
     pub news: Vec<News>,
     /// Whom the sender finds to stand out.
     pub names: Option<StewardId>,
+    /// The sender hands its slices over and takes none.
+    pub drains: bool,
 }
 
 /// Something that operators and the sharing of slices want to know.
@@ -93,6 +95,7 @@
     standing: Standing,
     since: Seconds,
     withdrawn: bool,
+    drains: bool,
     usual: Usual,
     /// Share of probes that went badly, and the score that it drives.
     badly: f64,
@@ -142,6 +145,7 @@
     number: u64,
     probes_at: Seconds,
     ticked_at: Seconds,
+    drains: bool,
     chance: ChaCha8Rng,
     sent: u64,
 }
@@ -157,6 +161,7 @@
             standing: Standing::Alive,
             since: now,
             withdrawn: false,
+            drains: false,
             usual: Usual::default(),
             badly: 0.0,
             score: 0.0,
@@ -174,6 +179,7 @@
             number: 0,
             probes_at: now,
             ticked_at: now,
+            drains: false,
             chance: ChaCha8Rng::seed_from_u64(seed ^ u64::from(me.0)),
             sent: 0,
         }
@@ -200,6 +206,16 @@
         1 + self.peers.values().filter(lives).count()
     }
 
+    /// We hand our slices over; the others learn of it with the next message to each.
+    pub fn drain(&mut self) {
+        self.drains = true;
+    }
+
+    /// It hands its slices over, and says so.
+    pub fn drains(&self, id: StewardId) -> bool {
+        (id == self.me && self.drains) || self.peers.get(&id).is_some_and(|peer| peer.drains)
+    }
+
     /// Messages sent so far.
     pub fn sent(&self) -> u64 {
         self.sent
@@ -223,7 +239,7 @@
             }
         }
         self.sent += 1;
-        Message { number, ask, news, names: self.outlier(now) }
+        Message { number, ask, news, names: self.outlier(now), drains: self.drains }
     }
 
     /// What is due: probes, those that ended without an answer, suspicions that are over. A steward that stood
@@ -349,6 +365,11 @@
         }
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.names = message.names.map(|named| (named, now));
+            if std::mem::replace(&mut peer.drains, message.drains) != message.drains {
+                let why = if message.drains { "it is drained" } else { "it is drained no more" };
+                let (about, standing, withdrawn) = (from, peer.standing, peer.withdrawn);
+                changed.push(Changed { about, standing, withdrawn, why: why.into() });
+            }
         }
         match &message.ask {
             Ask::Probe => {
@@ -470,6 +491,10 @@
             return;
         }
         let was = peer.standing;
+        if was > Standing::Suspect && news.standing == Standing::Alive {
+            // That it was away has been held against it already.
+            (peer.score, peer.badly) = (0.0, 0.0);
+        }
         (peer.incarnation, peer.standing, peer.since) = (news.incarnation, news.standing, now);
         if was != news.standing {
             let (about, standing, withdrawn) = (news.about, news.standing, peer.withdrawn);
