--- a/crates/railhub-day/src/replay.rs
+++ b/crates/railhub-day/src/replay.rs
@@ -17,6 +17,8 @@
 
 /// Seed of what scaling draws: the same recording scaled alike is the same traffic on all seeds of a day.
 const SCALE_SEED: u64 = 1;
+/// Seconds before a recording's end that its last operation stands at the latest.
+const LAST: f64 = 1e-3;
 /// Operations of one day: what they take in memory is some hundred bytes each.
 const OPERATIONS_MOST: u64 = 50_000_000;
 
@@ -163,9 +165,11 @@
         proxies: limits.proxies,
         length: limits.until - limits.from,
     };
+    let length = facts.length;
     let rows = events.iter().filter_map(|event| match &event.what {
         Some(What::Operation(end)) => Some(Row {
-            at: (end.began - limits.from).max(0.0),
+            // A client may begin some hundredths late: the last of them are still of this day.
+            at: (end.began - limits.from).clamp(0.0, (length - LAST).max(0.0)),
             class: end.class,
             slice: end.slice,
             zone: end.zone,
@@ -262,6 +266,33 @@
         assert!(fault("none", ("traffic = ", "traffic = nowhere-")).starts_with("d.ini:9: [load] traffic"));
     }
 
+    #[test]
+    fn a_record_becomes_traffic_that_brings_all_its_operations_again() {
+        let end = |n: u64, began: f64| Event {
+            at: began + 0.1,
+            what: Some(What::Operation(railhub_record::OperationEnd {
+                operation: n,
+                slice: (n % 6) as u32,
+                zone: 1,
+                began,
+                key: n,
+                work: 0.02,
+                proxy: 3,
+                comings: 1,
+                ..railhub_record::OperationEnd::default()
+            })),
+        };
+        let day = day("record", &traffic(vec![row(0.5, 4)]), ("", "")).expect("a good day");
+        let limits = Limits { from: 2.0, until: 7.0, ..day.limits.clone() };
+        let events = [end(1, 2.25), end(2, 4.5), end(3, 7.0008)];
+        let recorded = of_record(&events, &limits);
+        assert_eq!(recorded.facts.zones, ["a", "b"]);
+        let again = Day { replay: Some(Arc::new(recorded)), ..day };
+        let arrivals = draw::arrivals(&again, 1.0);
+        let seen: Vec<_> = arrivals.iter().map(|a| (a.at, a.drawn.key, a.proxy, a.drawn.work)).collect();
+        assert_eq!(seen, [(0.25, 1, 3, 0.02), (2.5, 2, 3, 0.02), (4.999, 3, 3, 0.02)]);
+    }
+
     #[test]
     fn another_number_of_slices_keeps_a_key_together() {
         let of = |key: u64| slice_of(&row(0.0, key), 6, 10);
--- a/crates/railhub-traffic/src/fit.rs
+++ b/crates/railhub-traffic/src/fit.rs
@@ -98,14 +98,18 @@
         return None;
     }
     let length = traffic.facts.length.max(*times.last()?);
+    // What is left over at the end belongs to the last whole window: a rate over a sliver would be any number.
     let counted = |window: f64| {
-        let mut counts = vec![0.0; (length / window).ceil().max(1.0) as usize];
+        let mut counts = vec![0.0; (length / window).round().max(1.0) as usize];
         let last = counts.len() - 1;
         times.iter().for_each(|at| counts[((at / window) as usize).min(last)] += 1.0);
         counts
     };
     let steady = counted(STEADY);
-    let span_of = |n: usize| (length - n as f64 * STEADY).clamp(1e-6, STEADY);
+    let span_of = |n: usize| match n + 1 == steady.len() {
+        true => (length - n as f64 * STEADY).max(1e-6),
+        false => STEADY,
+    };
     let rates: Vec<f64> = steady.iter().enumerate().map(|(n, count)| count / span_of(n)).collect();
     let fine = counted(BURST_WINDOW);
     let inside = (STEADY / BURST_WINDOW) as usize;
@@ -310,6 +314,18 @@
         assert!(work.candidates[0].fits && !work.candidates[2].fits, "{:?}", work.candidates);
     }
 
+    #[test]
+    fn a_sliver_at_the_end_has_no_rate_of_its_own() {
+        let mut rows: Vec<Row> =
+            (0..1000).map(|n| row(f64::from(n) / 100.0, 0, u64::from(n as u32 % 9))).collect();
+        rows.push(row(10.0008, 0, 1));
+        let mut all = traffic(rows);
+        all.facts.length = 10.001;
+        let rates = fit(&all).arrivals.expect("single operations").rates;
+        assert_eq!(rates.len(), 2);
+        assert!(rates.iter().all(|rate| (rate - 100.0).abs() < 1.0), "{rates:?}");
+    }
+
     #[test]
     fn bursts_are_seen_and_are_not_called_exponential() {
         let gaps = DrawGamma::new(0.3, 1.0 / 60.0).expect("right");
