--- a/crates/railhub-experiment/src/outcome.rs
+++ b/crates/railhub-experiment/src/outcome.rs
@@ -3,16 +3,12 @@
 use crate::plan::Experiment;
 use crate::stats::{estimate, verdict, Estimate, Verdict};
 use crate::trial::Ran;
-use railhub_series::causes::Told;
-use railhub_series::changes::levels;
-use railhub_series::lines::STEP;
+use railhub_series::causes::{changes, Told};
 use railhub_series::tail::{Tail, TailFigures};
 use serde::Serialize;
 
 /// Shares of the runs that lie below and above a band.
 const BAND: (f64, f64) = (0.1, 0.9);
-/// Seconds before a change that its cause is looked for in.
-const BEFORE: f64 = 10.0;
 
 /// Service second by second on one day, over all seeds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -187,19 +183,6 @@
         band.moves.push(f64::from(moves) / runs.len() as f64);
     }
     let happened = runs.first().map(|run| run.happened.as_slice()).unwrap_or_default();
-    band.changes = levels(&band.mean)
-        .windows(2)
-        .map(|two| {
-            let at = two[1].from as f64 * STEP;
-            let before = |(when, _): &&(f64, String)| (at - BEFORE..=at + STEP).contains(when);
-            Told {
-                at,
-                until: two[1].until as f64 * STEP,
-                service_before: two[0].mean,
-                service: two[1].mean,
-                just_before: happened.iter().rev().find(before).cloned(),
-            }
-        })
-        .collect();
+    band.changes = changes(&band.mean, happened);
     band
 }
--- a/crates/railhub-series/src/causes.rs
+++ b/crates/railhub-series/src/causes.rs
@@ -23,7 +23,11 @@
 
 /// The changes of service in a record.
 pub fn told(events: &[Event], limits: &Limits, lines: &Lines) -> Vec<Told> {
-    let happened = happenings(events, limits);
+    changes(&lines.service, &happenings(events, limits))
+}
+
+/// The changes of a line of service, by steps, and what of `happened` came just before each.
+pub fn changes(service: &[f64], happened: &[(f64, String)]) -> Vec<Told> {
     let change = |two: &[Level]| {
         let at = two[1].from as f64 * STEP;
         let before = |(when, _): &&(f64, String)| (at - BEFORE..=at + WITHIN).contains(when);
@@ -35,7 +39,7 @@
             just_before: happened.iter().rev().find(before).cloned(),
         }
     };
-    levels(&lines.service).windows(2).map(change).collect()
+    levels(service).windows(2).map(change).collect()
 }
 
 /// What operators would call an event, in order of time, with seconds of the day.
--- a/crates/railhub-series/src/lines.rs
+++ b/crates/railhub-series/src/lines.rs
@@ -1,7 +1,8 @@
 //! Events added up by seconds of the day.
+use crate::tables::Tables;
 use railhub_record::{Event, Limits, Outcome, What};
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Seconds of a step.
 pub const STEP: f64 = 1.0;
@@ -46,51 +47,6 @@
     }
 }
 
-/// What proxies were told of tables, each word counted once: the first proxy to learn a version tells it.
-#[derive(Default)]
-struct Tables {
-    lines: BTreeMap<u32, BTreeMap<String, f64>>,
-    newest: (u64, u64),
-}
-
-impl Tables {
-    /// Moves and withdrawals that a delta brings.
-    fn take(&mut self, delta: &railhub_proto::Delta) -> (u32, u32) {
-        let version = (delta.incarnation, delta.version);
-        if version <= self.newest && !delta.reset {
-            return (0, 0);
-        }
-        let counts = version > self.newest && !delta.reset;
-        self.newest = self.newest.max(version);
-        let slices: BTreeSet<u32> = delta.lines.iter().map(|line| line.slice).collect();
-        let heads: Vec<Option<String>> = slices.iter().map(|slice| self.heaviest(*slice)).collect();
-        let mut withdrawals = 0;
-        for line in &delta.lines {
-            let table = self.lines.entry(line.slice).or_default();
-            if line.weight > 0.0 {
-                table.insert(line.host.clone(), line.weight);
-            } else if table.remove(&line.host).is_some() {
-                withdrawals += 1;
-            }
-        }
-        let moved = slices.iter().zip(heads).filter(|(slice, head)| {
-            head.is_some() && self.heaviest(**slice).is_some_and(|now| Some(now) != *head)
-        });
-        let moves = moved.count() as u32;
-        if counts {
-            (moves, withdrawals)
-        } else {
-            (0, 0)
-        }
-    }
-
-    fn heaviest(&self, slice: u32) -> Option<String> {
-        let table = self.lines.get(&slice)?;
-        let heaviest = table.iter().max_by(|a, b| a.1.total_cmp(b.1).then(b.0.cmp(a.0)))?;
-        Some(heaviest.0.clone())
-    }
-}
-
 /// Adds a record up. What happened before the first operation counts for what stands, and in no step.
 pub fn over_time(events: &[Event], limits: &Limits) -> Lines {
     let steps = ((limits.until - limits.from) / STEP).ceil().max(1.0) as usize;
@@ -117,7 +73,7 @@
                 }
             }
             Some(What::Delta(received)) => {
-                let (moves, withdrawals) = tables.take(&received.delta);
+                let (moves, withdrawals) = tables.take(&received.delta).unwrap_or_default();
                 owing.insert((received.proxy, received.delta.version));
                 if let Some(step) = step {
                     lines.moves[step] += moves;
--- a/crates/railhub-watch/src/scene.rs
+++ b/crates/railhub-watch/src/scene.rs
@@ -1,6 +1,7 @@
 //! What stands at a moment of a run, out of the events up to it.
 use railhub_proto::Again;
 use railhub_record::{Event, Limits, Listed, Outcome, What};
+use railhub_series::tables::Tables;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Seconds after which a try counts for 1/e in a host's rate.
@@ -70,8 +71,7 @@
     pub troubles: BTreeSet<String>,
     pub told: VecDeque<(f64, String)>,
     pub outcomes: BTreeMap<Outcome, u64>,
-    tables: BTreeMap<u32, BTreeMap<String, f64>>,
-    newest: (u64, u64),
+    tables: Tables,
     seconds: BTreeMap<i64, Second>,
 }
 
@@ -151,23 +151,10 @@
         self.messages += 1;
         let lines = delta.lines.len() + delta.levels.len() + delta.shut.len();
         self.owing.insert((proxy, delta.version), lines);
-        let version = (delta.incarnation, delta.version);
-        if version <= self.newest {
-            return;
-        }
-        (self.newest, self.version) = (version, delta.version);
-        let heads: BTreeMap<u32, Option<String>> =
-            delta.lines.iter().map(|line| (line.slice, self.heaviest(line.slice))).collect();
-        for line in &delta.lines {
-            let table = self.tables.entry(line.slice).or_default();
-            if line.weight > 0.0 {
-                table.insert(line.host.clone(), line.weight);
-            } else if table.remove(&line.host).is_some() {
-                self.withdrawals += 1;
-            }
-        }
-        let moved = heads.iter().filter(|(slice, head)| head.is_some() && self.heaviest(**slice) != **head);
-        self.moves += moved.count() as u64;
+        let Some((moves, withdrawals)) = self.tables.take(delta) else { return };
+        self.version = self.tables.version();
+        self.moves += u64::from(moves);
+        self.withdrawals += u64::from(withdrawals);
         for level in &delta.levels {
             let class = self.limits.as_ref().and_then(|limits| limits.classes.get(level.class as usize));
             let class = class.map_or_else(|| level.class.to_string(), |class| class.name.clone());
@@ -181,20 +168,7 @@
         for shut in &delta.shut {
             self.hosts.entry(shut.host.clone()).or_default().shut = shut.out;
         }
-        self.count_slices();
-    }
-
-    fn heaviest(&self, slice: u32) -> Option<String> {
-        let table = self.tables.get(&slice)?;
-        let heaviest = table.iter().max_by(|a, b| a.1.total_cmp(b.1).then(b.0.cmp(a.0)))?;
-        Some(heaviest.0.clone())
-    }
-
-    fn count_slices(&mut self) {
-        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-        for head in self.tables.keys().filter_map(|slice| self.heaviest(*slice)) {
-            *counts.entry(head).or_default() += 1;
-        }
+        let counts = self.tables.slices_by_host();
         for (name, host) in &mut self.hosts {
             host.slices = counts.get(name).copied().unwrap_or(0);
         }
