--- a/crates/railhub-adapter/src/fields.rs
+++ b/crates/railhub-adapter/src/fields.rs
@@ -1,6 +1,5 @@
 //! One line of the wire: a name, then name=value pairs.
 use std::fmt::Display;
-use std::net::SocketAddr;
 use std::str::FromStr;
 
 pub struct Line<'a> {
@@ -60,7 +59,8 @@
     }
 
     pub fn host(&self) -> Result<railhub::HostId, String> {
-        Ok(railhub::HostId(self.get::<SocketAddr>("host")?))
+        let name = self.text("host")?;
+        railhub::HostId::new(name).ok_or_else(|| self.wrong("host", format!("cannot be '{name}'")))
     }
 
     pub fn wrong(&self, field: &str, what: impl Display) -> String {
--- a/crates/railhub-adapter/src/host.rs
+++ b/crates/railhub-adapter/src/host.rs
@@ -205,7 +205,7 @@
 
 impl Orders for Writer {
     fn set_line(&mut self, slice: SliceId, host: HostId, weight: f64) {
-        let _ = writeln!(self.out, "SET_LINE sheet={} host={} w={weight}", slice.0, host.0);
+        let _ = writeln!(self.out, "SET_LINE sheet={} host={} w={weight}", slice.0, host);
     }
     fn hand_table(&mut self, table: SliceId, proxy: ProxyId) {
         let _ = writeln!(self.out, "HAND_TABLE sheet={} only=0 edge={}", table.0, proxy.0);
@@ -220,13 +220,13 @@
         let _ = writeln!(self.out, "THROTTLE sheet=65535 only={only} amount={share} second_try={how}");
     }
     fn shut_out(&mut self, host: HostId, out: bool) {
-        let _ = writeln!(self.out, "BENCH host={} on={}", host.0, u8::from(out));
+        let _ = writeln!(self.out, "BENCH host={} on={}", host, u8::from(out));
     }
     fn mark(&mut self, mark: MarkId) {
         let _ = writeln!(self.out, "BARRIER rev={} on=1", mark.0);
     }
     fn probe(&mut self, host: HostId) {
-        let _ = writeln!(self.out, "INSPECT host={}", host.0);
+        let _ = writeln!(self.out, "INSPECT host={}", host);
     }
     fn wake(&mut self, after: Seconds, timer: TimerId) {
         let micros = (after * 1e6).round().max(1.0) as u64;
@@ -306,7 +306,7 @@
     #[test]
     fn every_decision_is_written() {
         let mut writer = Writer { out: String::new() };
-        let host = HostId("10.0.0.1:80".parse().expect("an address"));
+        let host = HostId::new("10.0.0.1:80").expect("a name");
         writer.set_line(SliceId(1), host, 0.5);
         writer.hand_table(SliceId(0), ProxyId(4));
         writer.set_level(ClassId(1), 0.75, SecondTry::AfterFailure);
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -85,12 +85,22 @@
 }
 
 fn main() -> ExitCode {
+    let signals = steward::is_for_platform().then(railhub_platform_net::Signals::take).transpose();
     let arguments = Arguments::parse();
     let runs = matches!(arguments.command, Command::Steward(_) | Command::Standin(_));
+    let signals = match signals {
+        Ok(signals) => signals,
+        Err(fault) => {
+            eprintln!("railhub: signals cannot be taken: {fault}");
+            return ExitCode::from(2);
+        }
+    };
     let _guard = logs::start(arguments.log, if runs { "info" } else { "warn" });
-    railhub_net::start();
+    if signals.is_none() {
+        railhub_net::start();
+    }
     let ended = match arguments.command {
-        Command::Steward(arguments) => steward::run(&arguments),
+        Command::Steward(arguments) => steward::run(&arguments, signals),
         Command::Conf(ConfArguments { what: ConfCommand::Check { file } }) => steward::check(&file),
         Command::Day(given) => day::run(&given, arguments.log),
         Command::Standin(given) => standin::run(&given),
--- a/crates/railhub-cli/src/steward.rs
+++ b/crates/railhub-cli/src/steward.rs
@@ -3,6 +3,7 @@
 use clap::Args;
 use railhub_day::Day;
 use railhub_ini::Sheet;
+use railhub_platform_net::Signals;
 use railhub_steward::{Installation, Running};
 use serde::Serialize;
 use std::io::{Read, Write};
@@ -16,8 +17,11 @@
 #[derive(Args)]
 pub struct StewardArguments {
     /// Settings, INI.
-    #[arg(long)]
-    conf: PathBuf,
+    #[arg(long, required_unless_present = "platform")]
+    conf: Option<PathBuf>,
+    /// Serve on the operators' platform, as its NODE_ variables tell.
+    #[arg(long, conflicts_with_all = ["conf", "until_stdin_ends"])]
+    platform: bool,
     /// End when standard input ends, as for a child whose parent may die.
     #[arg(long)]
     until_stdin_ends: bool,
@@ -28,8 +32,22 @@
     listening: SocketAddr,
 }
 
-pub fn run(arguments: &StewardArguments) -> Result<(), Ending> {
-    let running = Running::start(Installation::open(&arguments.conf)?)?;
+/// The variable that names the platform's file; the others say nothing that it does not.
+const PLATFORM_FILE: &str = "NODE_CONFIG";
+
+/// Whether the platform's signals must be taken before anything else.
+pub fn is_for_platform() -> bool {
+    std::env::args_os().any(|argument| argument == "--platform")
+}
+
+pub fn run(arguments: &StewardArguments, signals: Option<Signals>) -> Result<(), Ending> {
+    if let Some(signals) = signals {
+        let file = std::env::var_os(PLATFORM_FILE).map(PathBuf::from);
+        let file = file.ok_or_else(|| Ending::Input(format!("{PLATFORM_FILE} names no file")))?;
+        return Ok(railhub_platform_net::run(&file, signals)?);
+    }
+    let Some(conf) = &arguments.conf else { return Err(Ending::Input("--conf names no file".into())) };
+    let running = Running::start(Installation::open(conf)?)?;
     let listening = Listening { listening: running.address };
     println!("{}", serde_json::to_string(&listening)?);
     std::io::stdout().flush()?;
--- a/crates/railhub-fleet/src/baseline.rs
+++ b/crates/railhub-fleet/src/baseline.rs
@@ -137,11 +137,13 @@
         let slice = SliceId(slice as u16);
         let held = tables.lines_of(slice);
         for (host, weight) in lines {
-            if !held.contains(&(HostId(*host), *weight)) {
-                change.lines.insert((slice, HostId(*host)), *weight);
+            if !held.contains(&(HostId::from(*host), *weight)) {
+                change.lines.insert((slice, HostId::from(*host)), *weight);
             }
         }
-        for (host, _) in held.iter().filter(|(host, _)| !lines.iter().any(|line| line.0 == host.0)) {
+        for (host, _) in
+            held.iter().filter(|(host, _)| !lines.iter().any(|line| HostId::from(line.0) == *host))
+        {
             change.lines.insert((slice, *host), 0.0);
         }
     }
--- a/crates/railhub-fleet/src/list.rs
+++ b/crates/railhub-fleet/src/list.rs
@@ -72,7 +72,7 @@
 
 pub fn to_list(whole: bool, lines: &[(SocketAddr, Line)]) -> HostList {
     let entries = lines.iter().map(|(host, line)| Listed {
-        host: HostId(*host),
+        host: HostId::from(*host),
         phase: line.phase,
         started: line.started,
         weight: line.weight,
--- a/crates/railhub-fleet/src/steward.rs
+++ b/crates/railhub-fleet/src/steward.rs
@@ -188,7 +188,7 @@
         let tables = self.tables.iter().map(|(slice, lines)| Charge {
             slice: SliceId(*slice as u16),
             given: true,
-            lines: lines.iter().map(|(host, weight)| (HostId(*host), *weight)).collect(),
+            lines: lines.iter().map(|(host, weight)| (HostId::from(*host), *weight)).collect(),
         });
         let charges: Vec<Charge> = tables.collect();
         match self.steward.as_mut().map(|steward| &mut steward.mind) {
@@ -293,12 +293,13 @@
             }
         }
         for host in asked.probes {
-            if let Some(place) = self.places.get(&host.0).copied() {
+            if let Some(place) = host.address().and_then(|address| self.places.get(&address).copied()) {
                 self.agenda.after(self.physics.way, Due::Probed(place));
             }
         }
         for (slice, lines) in asked.stored {
-            let lines = lines.into_iter().map(|(host, weight)| (host.0, weight)).collect();
+            let lines =
+                lines.into_iter().filter_map(|(host, weight)| Some((host.address()?, weight))).collect();
             let to = if self.store_away { &mut self.unstored } else { &mut self.tables };
             to.insert(u32::from(slice.0), lines);
         }
@@ -463,7 +464,7 @@
     }
 
     pub fn probe_ends(&mut self, place: HostAt, end: ProbeEnd) {
-        let host = HostId(self.hosts[place].address);
+        let host = HostId::from(self.hosts[place].address);
         if let Some(Mind::Kernel(kernel)) = self.steward.as_mut().map(|steward| &mut steward.mind) {
             kernel.hear_probe(ProbeResult { host, end });
             let steward = self.steward.as_mut().expect("its kernel has just heard");
--- a/crates/railhub-net/src/deadline.rs
+++ b/crates/railhub-net/src/deadline.rs
@@ -94,12 +94,31 @@
         self.0.heard.store(now().to_bits(), Ordering::Relaxed);
     }
 
+    pub fn closer(&self) -> Closer {
+        Closer(Arc::downgrade(&self.0))
+    }
+
     /// It has shut the socket down.
     pub fn fired(&self) -> bool {
         self.0.fired.load(Ordering::Acquire)
     }
 }
 
+/// Ends a guarded socket from elsewhere; does nothing once its owner has let it go.
+#[derive(Clone)]
+pub struct Closer(std::sync::Weak<Watched>);
+
+impl Closer {
+    pub fn close(&self) {
+        let Some(watched) = self.0.upgrade() else { return };
+        let socket = watched.socket.lock().expect("no holder panics");
+        if let Some(descriptor) = *socket {
+            // SAFETY: the guard takes the descriptor away under this lock before the socket is closed.
+            unsafe { libc::shutdown(descriptor, libc::SHUT_RDWR) };
+        }
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         *self.0.socket.lock().expect("no holder panics") = None;
--- a/crates/railhub-net/src/http.rs
+++ b/crates/railhub-net/src/http.rs
@@ -1,7 +1,9 @@
 //! As much HTTP/1.1 as roster, store and probes need: one exchange after another on a connection, bodies of a
 //! stated length, everything bounded. Parsed by `httparse`.
-use crate::deadline::Guard;
+use crate::deadline::{Closer, Guard};
+use crate::dial::dial;
 use may::net::TcpStream;
+use railhub_proto::Lines;
 use serde::{de::DeserializeOwned, Serialize};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -23,6 +25,8 @@
     Silent,
     #[error("broken: {0}")]
     Broken(io::Error),
+    #[error("the stream ended")]
+    Ended,
     #[error("not HTTP: {0}")]
     Malformed(String),
     #[error("answered with status {0}")]
@@ -57,7 +61,7 @@
         }
         let was_empty = read.is_empty();
         match read_head(stream, read) {
-            Err(HttpFault::Malformed(_)) if was_empty => return Ok(None),
+            Err(HttpFault::Ended) if was_empty => return Ok(None),
             other => other?,
         }
     }
@@ -88,12 +92,7 @@
     pub fn call(&mut self, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, HttpFault> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
-            None => {
-                let stream =
-                    TcpStream::connect_timeout(&self.address, self.within).map_err(HttpFault::Unreached)?;
-                stream.set_nodelay(true).map_err(HttpFault::Broken)?;
-                stream
-            }
+            None => dial(self.address, self.within.as_secs_f64()).map_err(HttpFault::Unreached)?,
         };
         let head = format!(
             "{method} {path} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n",
@@ -127,6 +126,129 @@
     }
 }
 
+/// Bytes of one line of a feed: a whole list of some ten thousand hosts.
+const LINE_LIMIT: usize = 4 << 20;
+
+/// An answer that is kept open and brings a line now and then, in chunks.
+pub struct Feed {
+    /// Before the socket, so that it ends first.
+    guard: Guard,
+    stream: TcpStream,
+    chunks: Chunks,
+    lines: Lines,
+}
+
+impl Feed {
+    /// Asks; the peer may be silent for a span at most, from now on.
+    pub fn open(address: SocketAddr, path: &str, connect: f64, silent: f64) -> Result<Feed, HttpFault> {
+        let mut stream = dial(address, connect).map_err(HttpFault::Unreached)?;
+        let guard = Guard::new(&stream, silent);
+        let ask = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
+        stream.write_all(ask.as_bytes()).map_err(HttpFault::Broken)?;
+        let mut read = Vec::new();
+        let head = loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut response = httparse::Response::new(&mut headers);
+            let status = response.parse(&read).map_err(|e| HttpFault::Malformed(e.to_string()))?;
+            if let httparse::Status::Complete(head) = status {
+                match response.code {
+                    Some(200) => break head,
+                    code => return Err(HttpFault::Status(code.unwrap_or_default())),
+                }
+            }
+            let more = read_head(&mut stream, &mut read);
+            if guard.fired() {
+                return Err(HttpFault::Silent);
+            }
+            more?;
+        };
+        let (mut chunks, mut lines) = (Chunks::default(), Lines::new(LINE_LIMIT));
+        chunks.push(&read[head..], |part| lines.push(part))?;
+        Ok(Feed { guard, stream, chunks, lines })
+    }
+
+    pub fn closer(&self) -> Closer {
+        self.guard.closer()
+    }
+
+    /// What `read` makes of the next line.
+    pub fn line<T>(&mut self, read: impl FnOnce(&[u8]) -> T) -> Result<T, HttpFault> {
+        loop {
+            match self.lines.has_line() {
+                Ok(true) => break,
+                Ok(false) if self.chunks.ended => return Err(HttpFault::Ended),
+                Ok(false) => {}
+                Err(fault) => return Err(HttpFault::Malformed(fault.to_string())),
+            }
+            let mut bytes = [0; READ_AT_ONCE];
+            let count = self.stream.read(&mut bytes);
+            if self.guard.fired() {
+                return Err(HttpFault::Silent);
+            }
+            match count {
+                Ok(0) => return Err(HttpFault::Ended),
+                Ok(count) => {
+                    self.guard.heard();
+                    let lines = &mut self.lines;
+                    self.chunks.push(&bytes[..count], |part| lines.push(part))?;
+                }
+                Err(e) => return Err(HttpFault::Broken(e)),
+            }
+        }
+        Ok(self.lines.line(read))
+    }
+}
+
+/// Takes the chunks of a body apart, whatever pieces they come in.
+#[derive(Default)]
+struct Chunks {
+    /// A size line that is not whole yet.
+    size: Vec<u8>,
+    /// Bytes of the chunk that are still to come, and of the line end behind it.
+    left: u64,
+    tail: usize,
+    ended: bool,
+}
+
+/// Bytes of a chunk's size line: a number and perhaps an extension.
+const SIZE_LINE: usize = 256;
+
+impl Chunks {
+    fn push(&mut self, mut bytes: &[u8], mut part: impl FnMut(&[u8])) -> Result<(), HttpFault> {
+        while !bytes.is_empty() && !self.ended {
+            if self.left > 0 {
+                let here = usize::try_from(self.left).unwrap_or(usize::MAX).min(bytes.len());
+                part(&bytes[..here]);
+                bytes = &bytes[here..];
+                self.left -= here as u64;
+            } else if self.tail > 0 {
+                let here = self.tail.min(bytes.len());
+                bytes = &bytes[here..];
+                self.tail -= here;
+            } else {
+                self.size.push(bytes[0]);
+                bytes = &bytes[1..];
+                self.read_size()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn read_size(&mut self) -> Result<(), HttpFault> {
+        if !self.size.ends_with(b"\n") {
+            let short = self.size.len() < SIZE_LINE;
+            return if short { Ok(()) } else { Err(HttpFault::Malformed("a chunk without size".into())) };
+        }
+        match httparse::parse_chunk_size(&self.size) {
+            Ok(httparse::Status::Complete((_, size))) => (self.left, self.tail) = (size, 2),
+            _ => return Err(HttpFault::Malformed("a chunk's size that cannot be".into())),
+        }
+        self.ended = self.left == 0;
+        self.size.clear();
+        Ok(())
+    }
+}
+
 fn read_answer(stream: &mut TcpStream) -> Result<(u16, Vec<u8>), HttpFault> {
     let mut read = Vec::new();
     loop {
@@ -178,7 +300,7 @@
 fn read_more(stream: &mut TcpStream, read: &mut Vec<u8>) -> Result<(), HttpFault> {
     let mut bytes = [0; READ_AT_ONCE];
     match stream.read(&mut bytes) {
-        Ok(0) => Err(HttpFault::Malformed("the stream ended".into())),
+        Ok(0) => Err(HttpFault::Ended),
         Ok(count) => {
             read.extend_from_slice(&bytes[..count]);
             Ok(())
--- a/crates/railhub-net/src/lib.rs
+++ b/crates/railhub-net/src/lib.rs
@@ -5,13 +5,17 @@
 //! sends what is not a message ends its own stream and nothing else.
 mod clock;
 mod deadline;
+mod dial;
 pub mod http;
+mod inbox;
 mod listen;
 mod stream;
 mod task;
 
 pub use clock::{now, seconds};
-pub use deadline::{after, Guard};
+pub use deadline::{after, Closer, Guard};
+pub use dial::dial;
+pub use inbox::Inbox;
 pub use listen::Listener;
 pub use stream::{connect, reset, split, FrameReader, FrameWriter, StreamEnd};
-pub use task::{go, start, Task};
+pub use task::{go, start, start_small, Task};
--- a/crates/railhub-net/src/task.rs
+++ b/crates/railhub-net/src/task.rs
@@ -15,6 +15,12 @@
     may::config().set_workers(workers).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
 }
 
+/// The same for a machine of one core and little memory: one worker, which shares the core with the thread that
+/// owns the state.
+pub fn start_small(stacks: usize) {
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(stacks);
+}
+
 /// A coroutine on its own.
 pub fn go(work: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
     // SAFETY: the work touches no thread-local across a wait, and its stack is far above its need.
--- /dev/null
+++ b/crates/railhub-platform-net/src/listener.rs
@@ -0,0 +1,165 @@
+//! The steward's own address: collectors that report, signs of life, and strangers, who cost little and go soon.
+use crate::probes;
+use crate::shared::{cause, Holds, Shared, Sum};
+use crate::RunFault;
+use may::net::TcpStream;
+use railhub::{Seconds, ZoneId};
+use railhub_net::{after, go, Closer, Guard, Listener};
+use railhub_platform::collector::{self, Frame};
+use railhub_platform::{Assignment, Spoilt};
+use railhub_proto::Deframer;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Seconds within which a connection must join.
+const JOIN_WITHIN: Seconds = 1.0;
+/// Seconds a collector may be silent: it reports each second or so, and comes back when it is cut off.
+const SILENT: Seconds = 20.0;
+/// Descriptors kept from visitors: the process's own (logs, event queue, listener), the relay's and discovery's
+/// lines, twice over while a new file takes effect.
+const OWN: usize = 40;
+/// Connections at most, whatever descriptors there are: each costs some pages of stack.
+const VISITORS_MOST: usize = 400;
+/// Connections of one zone's collector that may stand; older ones are given up, as cut off unheard.
+const COLLECTORS_A_ZONE: usize = 4;
+const READ_AT_ONCE: usize = 2048;
+
+pub fn open(assignment: &Assignment, shared: &Arc<Shared>) -> Result<Listener, RunFault> {
+    let room = assignment.sockets.saturating_sub(OWN + probes::AT_ONCE).clamp(8, VISITORS_MOST);
+    let visits = Arc::new(Visits { room, next: AtomicU64::new(0), open: Mutex::default() });
+    let shared = shared.clone();
+    Listener::open(assignment.listen, move |stream, _| {
+        let (shared, visits) = (shared.clone(), visits.clone());
+        let Some(visit) = visits.enter(&stream, &shared) else { return };
+        go(move || serve(&shared, &visit, stream));
+    })
+    .map_err(|e| RunFault::Listen(assignment.listen, e))
+}
+
+struct Visitor {
+    closer: Closer,
+    zone: Option<ZoneId>,
+}
+
+/// The connections that stand, by when they came.
+struct Visits {
+    room: usize,
+    next: AtomicU64,
+    open: Mutex<BTreeMap<u64, Visitor>>,
+}
+
+/// One connection's place; left when this is dropped.
+struct Visit {
+    number: u64,
+    visits: Arc<Visits>,
+    guard: Guard,
+}
+
+impl Visits {
+    /// When there is no room, the oldest that has not joined must go; `None` if all have.
+    fn enter(self: &Arc<Visits>, stream: &TcpStream, shared: &Shared) -> Option<Visit> {
+        let guard = Guard::new(stream, SILENT);
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut open = self.open.lock().expect("no holder panics");
+        if open.len() >= self.room {
+            shared.refuse("no room");
+            let oldest = open.iter().find(|(_, visitor)| visitor.zone.is_none()).map(|(number, _)| *number);
+            open.remove(&oldest?)?.closer.close();
+        }
+        open.insert(number, Visitor { closer: guard.closer(), zone: None });
+        drop(open);
+        let visits = self.clone();
+        let closer = guard.closer();
+        after(JOIN_WITHIN, move || {
+            let open = visits.open.lock().expect("no holder panics");
+            if open.get(&number).is_some_and(|visitor| visitor.zone.is_none()) {
+                closer.close();
+            }
+        });
+        Some(Visit { number, visits: self.clone(), guard })
+    }
+}
+
+impl Visit {
+    /// It is the zone's collector; the oldest of too many of them is cut off.
+    fn join(&self, zone: ZoneId) {
+        let mut open = self.visits.open.lock().expect("no holder panics");
+        if let Some(visitor) = open.get_mut(&self.number) {
+            visitor.zone = Some(zone);
+        }
+        let alike: Vec<u64> = open
+            .iter()
+            .filter(|(_, visitor)| visitor.zone == Some(zone))
+            .map(|(number, _)| *number)
+            .collect();
+        let spare = alike.len().saturating_sub(COLLECTORS_A_ZONE);
+        alike.iter().take(spare).filter_map(|number| open.get(number)).for_each(|old| old.closer.close());
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.visits.open.lock().expect("no holder panics").remove(&self.number);
+    }
+}
+
+fn serve(shared: &Shared, visit: &Visit, mut stream: TcpStream) {
+    let _held = Holds::one(&shared.held.visitors);
+    let mut deframer = Deframer::new(collector::FIRST_LIMIT);
+    let mut joined: Option<(ZoneId, Holds)> = None;
+    loop {
+        let frame = deframer.body(|body| collector::read(body, &shared.names, shared.slices));
+        let refused = match frame {
+            Ok(None) => match read(&mut stream, &visit.guard, &mut deframer) {
+                true => continue,
+                false => return,
+            },
+            Ok(Some(Ok(Frame::Ping))) => {
+                if stream.write_all(&collector::pong()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            Ok(Some(Ok(Frame::Collector(zone)))) if joined.is_none() => {
+                visit.join(zone);
+                deframer.set_limit(collector::MESSAGE_LIMIT);
+                joined = Some((zone, Holds::one(&shared.held.collectors)));
+                continue;
+            }
+            Ok(Some(Ok(Frame::Tries(sum)))) if joined.is_some() => {
+                shared.inbox.report(Sum::Tries(sum));
+                continue;
+            }
+            Ok(Some(Ok(Frame::Demand(sum)))) if joined.is_some() => {
+                shared.inbox.report(Sum::Demand(sum));
+                continue;
+            }
+            Ok(Some(Ok(_))) => Spoilt::Kind,
+            Ok(Some(Err(spoilt))) if joined.is_some() && spoilt != Spoilt::Unreadable => {
+                shared.refuse(cause(spoilt));
+                continue;
+            }
+            Ok(Some(Err(spoilt))) => spoilt,
+            Err(_) => Spoilt::Unreadable,
+        };
+        shared.refuse(if joined.is_some() { "collector's stream" } else { "stranger" });
+        let _ = stream.write_all(&collector::refusal(refused));
+        return;
+    }
+}
+
+/// Whether the peer goes on.
+fn read(stream: &mut TcpStream, guard: &Guard, deframer: &mut Deframer) -> bool {
+    let mut bytes = [0; READ_AT_ONCE];
+    let count = stream.read(&mut bytes);
+    match count {
+        Ok(count) if count > 0 && !guard.fired() => {
+            guard.heard();
+            deframer.push(&bytes[..count]);
+            true
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -0,0 +1,186 @@
+//! The thread that owns the desk: takes in words and sums, runs rounds, hands calls over one at a time.
+use crate::clock::now;
+use crate::probes::Probes;
+use crate::relay::Calls;
+use crate::shared::{Shared, Sum, Word};
+use hdrhistogram::Histogram;
+use railhub::Seconds;
+use railhub_net::seconds;
+use railhub_platform::news::{Answer, News};
+use railhub_platform::{Assignment, Desk};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// Seconds the owner sleeps at most: reports wake nobody and must not wait long.
+const LONGEST_SLEEP: Seconds = 0.2;
+/// Seconds before a call that was not let in, or whose end is not known, is made again.
+const CALL_PAUSE: Seconds = 0.1;
+/// Words taken in for one round: a round must end.
+const WORDS_A_ROUND: usize = 2048;
+
+/// What the log tells of the desk.
+#[derive(Clone, Debug, Default)]
+pub struct Shown {
+    pub generation: u64,
+    pub joined: usize,
+    pub hosts: usize,
+    pub waiting: usize,
+    pub rounds: u64,
+    pub informed: bool,
+    pub sums_dropped: u64,
+    pub late_99: Seconds,
+    pub late_most: Seconds,
+    pub call_99: Seconds,
+    pub call_most: Seconds,
+    pub longest_round: Seconds,
+}
+
+pub struct Owner {
+    desk: Desk,
+    shared: Arc<Shared>,
+    calls: Calls,
+    probes: Probes,
+    /// The subscription whose news counts.
+    source: u64,
+    call_not_before: Seconds,
+    called_at: Seconds,
+    late: Histogram<u64>,
+    called: Histogram<u64>,
+    shown: Shown,
+}
+
+impl Owner {
+    pub fn new(assignment: &Assignment, shared: &Arc<Shared>, calls: Calls, probes: Probes) -> Owner {
+        let times = || Histogram::new(2).expect("two digits are allowed");
+        Owner {
+            desk: Desk::new(assignment),
+            shared: shared.clone(),
+            calls,
+            probes,
+            source: 0,
+            call_not_before: 0.0,
+            called_at: 0.0,
+            late: times(),
+            called: times(),
+            shown: Shown::default(),
+        }
+    }
+
+    pub fn run(mut self) {
+        self.shared.inbox.own();
+        loop {
+            self.sleep();
+            for _ in 0..WORDS_A_ROUND {
+                match self.shared.inbox.next_word() {
+                    Some(word) => self.hear(word),
+                    None => break,
+                }
+            }
+            while let Some(sum) = self.shared.inbox.next_report() {
+                match sum {
+                    Sum::Tries(sum) => self.desk.hear_tries(sum),
+                    Sum::Demand(sum) => self.desk.hear_demand(sum),
+                }
+            }
+            self.act();
+            self.call();
+            self.show();
+        }
+    }
+
+    fn sleep(&self) {
+        let now = now();
+        let again = (self.desk.orders_waiting() > 0).then_some(self.call_not_before).filter(|at| *at > now);
+        let due = [self.desk.next_due(), again].into_iter().flatten().fold(now + LONGEST_SLEEP, f64::min);
+        if self.shared.inbox.is_quiet() && due > now {
+            std::thread::park_timeout(seconds(due - now));
+        }
+    }
+
+    fn hear(&mut self, word: Word) {
+        match word {
+            Word::Page(page) => {
+                let (generation, hosts, whole) = (page.generation, page.entries.len(), page.whole);
+                if self.desk.hear_page(&page) {
+                    tracing::info!(generation, hosts, whole, "the host list has news");
+                }
+            }
+            Word::News(source, news) => {
+                if source > self.source && news == News::Subscribed {
+                    self.source = source;
+                }
+                if source == self.source {
+                    self.desk.hear_news(now(), news);
+                }
+            }
+            Word::Probe(result) => self.desk.hear_probe(result),
+            Word::CallEnded(answer) => self.end_call(answer),
+        }
+    }
+
+    fn end_call(&mut self, answer: Option<Answer>) {
+        let counts = &self.shared.counts;
+        if !matches!(answer, Some(Answer::Taken(_) | Answer::Malformed)) {
+            let count = if answer.is_none() { &counts.calls_unknown } else { &counts.calls_turned_away };
+            count.fetch_add(1, Ordering::Relaxed);
+            self.call_not_before = now() + CALL_PAUSE;
+        } else {
+            let took = ((now() - self.called_at) * 1e6) as u64;
+            self.called.saturating_record(took);
+        }
+        if let Some(dropped) = self.desk.end_call(answer) {
+            tracing::error!("{dropped}");
+        }
+    }
+
+    fn act(&mut self) {
+        let began = now();
+        let asked = self.desk.act(began);
+        for late in &asked.late {
+            self.late.saturating_record((late * 1e6) as u64);
+        }
+        for (host, address) in asked.probes {
+            self.probes.ask(host, address);
+        }
+        for cause in asked.notes {
+            tracing::info!(cause, "decision");
+        }
+        self.shown.rounds += asked.rounds;
+        self.shown.longest_round = self.shown.longest_round.max(now() - began);
+        if self.desk.must_ask_anew() {
+            tracing::error!("orders were dropped for want of room: what the relay holds is asked for anew");
+            self.shared
+                .news_line
+                .lock()
+                .expect("no holder panics")
+                .iter()
+                .for_each(railhub_net::Closer::close);
+        }
+    }
+
+    fn call(&mut self) {
+        if now() < self.call_not_before {
+            return;
+        }
+        if let Some(call) = self.desk.next_call() {
+            self.shared.counts.calls.fetch_add(1, Ordering::Relaxed);
+            tracing::debug!(id = call.id, orders = call.count, bytes = call.bytes.len(), "a call leaves");
+            self.called_at = now();
+            self.calls.make(call);
+        }
+    }
+
+    fn show(&mut self) {
+        let micros = |value: u64| value as f64 / 1e6;
+        let shown = &mut self.shown;
+        shown.generation = self.desk.generation();
+        (shown.joined, shown.hosts) = (self.desk.joined(), self.desk.hosts());
+        (shown.waiting, shown.informed) = (self.desk.orders_waiting(), self.desk.is_informed());
+        shown.sums_dropped = self.desk.sums_dropped + self.shared.inbox.sums_dropped.load(Ordering::Relaxed);
+        shown.late_99 = micros(self.late.value_at_quantile(0.99));
+        shown.late_most = micros(self.late.max());
+        shown.call_99 = micros(self.called.value_at_quantile(0.99));
+        shown.call_most = micros(self.called.max());
+        *self.shared.owner.lock().expect("no holder panics") = shown.clone();
+    }
+}
--- /dev/null
+++ b/crates/railhub-platform-net/src/relay.rs
@@ -0,0 +1,167 @@
+//! The relay: news on one connection, calls on another, one at a time and in order.
+use crate::shared::{Addresses, Holds, Shared, Word};
+use may::net::TcpStream;
+use may::sync::Semphore;
+use railhub::Seconds;
+use railhub_net::{dial, go, now, seconds, Guard};
+use railhub_platform::news::{self, Answer, News};
+use railhub_platform::orders::Call;
+use railhub_proto::Lines;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+
+/// Seconds a connection may take to come up; it is on a near network, and the next try follows.
+const CONNECT: Seconds = 0.5;
+/// Seconds news may be silent: a sign of life comes each second.
+const SILENT: Seconds = 2.5;
+/// Seconds for an answer: the relay gives it within 0.05 or never; the rest is for our own lateness on part of a
+/// core.
+const ANSWER: Seconds = 0.25;
+/// Seconds a connection for calls may stand idle and be used again: the relay closes idle ones by and by, and a
+/// call that meets a closed one would have an unknown outcome.
+const IDLE: Seconds = 1.0;
+/// Seconds between tries while the relay is out of reach.
+const PAUSE: Seconds = 0.15;
+const READ_AT_ONCE: usize = 2048;
+
+/// Follows the news from the addresses that count now; an earlier follower ends by itself.
+pub fn follow(shared: &Arc<Shared>) {
+    let (shared, addresses) = (shared.clone(), shared.addresses());
+    go(move || {
+        let mut failing = false;
+        while shared.addresses().version == addresses.version {
+            let why = listen(&shared, addresses, &mut failing);
+            if !std::mem::replace(&mut failing, true) && shared.addresses().version == addresses.version {
+                tracing::warn!(why, "the relay's news ended: what was told holds until it is back");
+            }
+            may::coroutine::sleep(seconds(PAUSE));
+        }
+    });
+}
+
+fn listen(shared: &Arc<Shared>, addresses: Addresses, failing: &mut bool) -> String {
+    let mut stream = match dial(addresses.relay, CONNECT) {
+        Ok(stream) => stream,
+        Err(fault) => return format!("cannot connect: {fault}"),
+    };
+    let _held = Holds::one(&shared.held.relay);
+    let guard = Guard::new(&stream, SILENT);
+    let source = shared.counts.subscriptions.fetch_add(1, Ordering::Relaxed) + 1;
+    if let Err(fault) = stream.write_all(&news::subscribe(source)) {
+        return format!("cannot subscribe: {fault}");
+    }
+    let mut lines = Lines::new(news::LINE_LIMIT);
+    loop {
+        match next_line(&mut stream, &guard, &mut lines, news::read) {
+            Ok(Ok(news)) => {
+                if news == News::Subscribed {
+                    *failing = false;
+                    tracing::info!(source, relay = %addresses.relay, "subscribed to the relay's news");
+                    let line = Some(guard.closer());
+                    let older =
+                        std::mem::replace(&mut *shared.news_line.lock().expect("no holder panics"), line);
+                    older.iter().for_each(railhub_net::Closer::close);
+                }
+                tracing::trace!(source, ?news, "news");
+                shared.inbox.tell(Word::News(source, news));
+            }
+            Ok(Err(spoilt)) => {
+                shared.refuse("news that cannot be read");
+                return format!("news: {spoilt}");
+            }
+            Err(why) => return why,
+        }
+    }
+}
+
+/// What `read` makes of the next line.
+fn next_line<T>(
+    stream: &mut TcpStream,
+    guard: &Guard,
+    lines: &mut Lines,
+    read: impl FnOnce(&[u8]) -> T,
+) -> Result<T, String> {
+    loop {
+        if lines.has_line().map_err(|fault| fault.to_string())? {
+            return Ok(lines.line(read));
+        }
+        let mut bytes = [0; READ_AT_ONCE];
+        let count = stream.read(&mut bytes);
+        if guard.fired() {
+            return Err("silent for too long".into());
+        }
+        match count {
+            Ok(0) => return Err("closed".into()),
+            Ok(count) => {
+                guard.heard();
+                lines.push(&bytes[..count]);
+            }
+            Err(fault) => return Err(fault.to_string()),
+        }
+    }
+}
+
+/// Makes calls, one at a time.
+pub struct Calls {
+    next: Arc<(Mutex<Option<Call>>, Semphore)>,
+}
+
+impl Calls {
+    pub fn start(shared: &Arc<Shared>) -> Calls {
+        let next = Arc::new((Mutex::new(None), Semphore::new(0)));
+        let (shared, waiting) = (shared.clone(), next.clone());
+        go(move || {
+            let mut line: Option<Line> = None;
+            loop {
+                waiting.1.wait();
+                let call = waiting.0.lock().expect("no holder panics").take();
+                let Some(call) = call else { continue };
+                let answer = make(&shared, &mut line, &call);
+                let answer =
+                    answer.map_err(|why| tracing::info!(why, id = call.id, "a call has no known end"));
+                shared.inbox.tell(Word::CallEnded(answer.ok()));
+            }
+        });
+        Calls { next }
+    }
+
+    pub fn make(&self, call: Call) {
+        *self.next.0.lock().expect("no holder panics") = Some(call);
+        self.next.1.post();
+    }
+}
+
+/// A connection for calls.
+struct Line {
+    to: SocketAddr,
+    used_at: Seconds,
+    stream: TcpStream,
+    lines: Lines,
+}
+
+fn make(shared: &Shared, line: &mut Option<Line>, call: &Call) -> Result<Answer, String> {
+    let to = shared.addresses().relay;
+    let kept = line.take().filter(|line| line.to == to && now() - line.used_at < IDLE);
+    let mut open = match kept {
+        Some(open) => open,
+        None => {
+            let stream = dial(to, CONNECT).map_err(|fault| format!("cannot connect: {fault}"))?;
+            Line { to, used_at: now(), stream, lines: Lines::new(news::LINE_LIMIT) }
+        }
+    };
+    let _held = Holds::one(&shared.held.relay);
+    let guard = Guard::new(&open.stream, ANSWER);
+    open.stream.write_all(&call.bytes).map_err(|fault| fault.to_string())?;
+    let read = |bytes: &[u8]| {
+        let end = bytes.len().min(200);
+        let shown = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        news::answer(bytes, call.id, call.count).map_err(|spoilt| format!("{spoilt}: {shown}"))
+    };
+    let answer = next_line(&mut open.stream, &guard, &mut open.lines, read)??;
+    drop(guard);
+    open.used_at = now();
+    *line = Some(open);
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/railhub-platform-net/src/shared.rs
@@ -0,0 +1,130 @@
+//! What the parts of a steward share: its inbox, the addresses that count now, and counts for the log.
+use railhub::{DemandSum, ProbeResult, TrySum};
+use railhub_net::{Closer, Inbox};
+use railhub_platform::news::{Answer, News};
+use railhub_platform::{Assignment, Names, Page, Spoilt};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Words and sums that may wait for the owner: some seconds of them.
+const WORDS: usize = 4096;
+const SUMS: usize = 4096;
+
+pub enum Word {
+    Page(Page),
+    /// From which subscription, counted up.
+    News(u64, News),
+    Probe(ProbeResult),
+    /// How the call that was out ended; without an answer its outcome is not known.
+    CallEnded(Option<Answer>),
+}
+
+pub enum Sum {
+    Tries(TrySum),
+    Demand(DemandSum),
+}
+
+/// Where the relay and discovery are now; `version` counts the files that said so.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    pub version: u64,
+    pub relay: SocketAddr,
+    pub discovery: SocketAddr,
+}
+
+/// Descriptors by what holds them.
+#[derive(Default)]
+pub struct Held {
+    pub visitors: AtomicUsize,
+    pub collectors: AtomicUsize,
+    pub relay: AtomicUsize,
+    pub discovery: AtomicUsize,
+    pub probes: AtomicUsize,
+}
+
+#[derive(Default)]
+pub struct Counts {
+    /// Messages and connections that were refused, by cause.
+    pub refused: Mutex<BTreeMap<&'static str, u64>>,
+    pub subscriptions: AtomicU64,
+    pub calls: AtomicU64,
+    pub calls_unknown: AtomicU64,
+    pub calls_turned_away: AtomicU64,
+}
+
+pub struct Shared {
+    pub inbox: Inbox<Word, Sum>,
+    pub names: Names,
+    pub slices: u16,
+    addresses: Mutex<Addresses>,
+    /// The subscription and the watch that stand, each ended once a newer one does.
+    pub news_line: Mutex<Option<Closer>>,
+    pub watch_line: Mutex<Option<Closer>>,
+    pub held: Held,
+    pub counts: Counts,
+    pub owner: Mutex<crate::owner::Shown>,
+}
+
+impl Shared {
+    pub fn new(assignment: &Assignment) -> Arc<Shared> {
+        Arc::new(Shared {
+            inbox: Inbox::new(WORDS, SUMS),
+            names: assignment.names.clone(),
+            slices: assignment.terms.slices,
+            addresses: Mutex::new(Addresses {
+                version: 0,
+                relay: assignment.relay,
+                discovery: assignment.discovery,
+            }),
+            news_line: Mutex::default(),
+            watch_line: Mutex::default(),
+            held: Held::default(),
+            counts: Counts::default(),
+            owner: Mutex::default(),
+        })
+    }
+
+    pub fn addresses(&self) -> Addresses {
+        *self.addresses.lock().expect("no holder panics")
+    }
+
+    /// A new file counts from here on.
+    pub fn move_to(&self, relay: SocketAddr, discovery: SocketAddr) -> Addresses {
+        let mut addresses = self.addresses.lock().expect("no holder panics");
+        *addresses = Addresses { version: addresses.version + 1, relay, discovery };
+        *addresses
+    }
+
+    /// Counts what was refused; the log tells the sums now and then.
+    pub fn refuse(&self, cause: &'static str) {
+        *self.counts.refused.lock().expect("no holder panics").entry(cause).or_default() += 1;
+    }
+}
+
+pub fn cause(spoilt: Spoilt) -> &'static str {
+    match spoilt {
+        Spoilt::Unreadable => "unreadable",
+        Spoilt::Fields => "fields",
+        Spoilt::Range => "range",
+        Spoilt::Unknown => "unknown",
+        Spoilt::Kind => "kind",
+    }
+}
+
+/// Counts a descriptor while it lives.
+pub struct Holds<'a>(&'a AtomicUsize);
+
+impl<'a> Holds<'a> {
+    pub fn one(count: &'a AtomicUsize) -> Holds<'a> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Holds(count)
+    }
+}
+
+impl Drop for Holds<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/railhub-platform/src/assignment.rs
@@ -0,0 +1,242 @@
+//! What a steward on the platform is told when it starts, and again with each new file.
+use crate::discovery::Page;
+use railhub::{ClassId, ClassTerms, HostList, KindId, Repeat, Seconds, Terms, ZoneId};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Most classes and the longest time or window believed, in seconds.
+const CLASSES_MOST: usize = 64;
+const LONGEST: Seconds = 86_400.0;
+
+#[derive(Debug, Error)]
+#[error("{at}: {what}")]
+pub struct AssignmentFault {
+    /// Where in the file.
+    at: String,
+    what: String,
+}
+
+fn fault(at: &str, what: impl ToString) -> AssignmentFault {
+    AssignmentFault { at: at.to_owned(), what: what.to_string() }
+}
+
+/// The names that messages use for what the module numbers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// The longest time a client waits, past which no mean of good tries can lie.
+    pub longest_wait: Seconds,
+}
+
+impl Names {
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        self.zones.iter().position(|known| known == name).map(|place| ZoneId(place as u16))
+    }
+
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|known| known == name).map(|place| ClassId(place as u8))
+    }
+
+    /// Kinds that the file does not name are told apart by a hash: a table of them would only grow.
+    pub fn kind(&self, name: &str) -> KindId {
+        let known = self.kinds.iter().position(|known| known == name);
+        let hashed = |name: &str| name.bytes().fold(0u16, |hash, b| hash.wrapping_mul(251) ^ u16::from(b));
+        KindId(known.map_or_else(|| hashed(name).max(self.kinds.len() as u16), |place| place as u16))
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+    /// Descriptors and megabytes that the process may use.
+    pub sockets: usize,
+    pub memory_mb: usize,
+    /// The list of hosts as this steward last had it; it may be old.
+    pub known: Page,
+    pub terms: Terms,
+    pub names: Names,
+    /// Least span between two rounds, and how long a probe may wait for its connection.
+    pub tick: Seconds,
+    pub connect_within: Seconds,
+}
+
+#[derive(Deserialize)]
+struct Sheet {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    registry: Registry,
+    limits: Limits,
+    #[serde(default)]
+    known: crate::discovery::RawPage,
+    settings: Told,
+}
+
+#[derive(Deserialize)]
+struct Registry {
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    ceilings: Ceilings,
+    family_info: Family,
+    host_types: Vec<String>,
+    request_classes: Vec<Class>,
+    rules: Rules,
+    tick_us: u64,
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Ceilings {
+    connect_timeout_us: u64,
+    probes: bool,
+}
+
+#[derive(Deserialize)]
+struct Family {
+    backlog: f64,
+    envelope: f64,
+    exclusive: bool,
+    first_wait: f64,
+    key_ranges: u16,
+    messages_over_us: u64,
+    throttle_by: String,
+    update_cap: u32,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    aim_us: u64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    hard_limit_us: u64,
+    #[serde(default)]
+    key_ttl_us: u64,
+    name: String,
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    cold_from: f64,
+    fall_multiple: f64,
+    #[serde(default)]
+    removal_not_binding: bool,
+    warm_within_us: u64,
+}
+
+fn seconds(micros: u64, at: &str) -> Result<Seconds, AssignmentFault> {
+    let span = micros as f64 / 1e6;
+    if span <= LONGEST {
+        Ok(span)
+    } else {
+        Err(fault(at, "is longer than a day"))
+    }
+}
+
+fn amount(value: f64, at: &str) -> Result<f64, AssignmentFault> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(value)
+    } else {
+        Err(fault(at, "must be a number from 0 up"))
+    }
+}
+
+impl Assignment {
+    pub fn read(text: &str) -> Result<Assignment, AssignmentFault> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let sheet: Sheet = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| fault(&e.path().to_string(), e.inner()))?;
+        json.end().map_err(|e| fault("the end", e))?;
+        let Told { ceilings, host_types, request_classes, zones, .. } = &sheet.settings;
+        if request_classes.is_empty() || request_classes.len() > CLASSES_MOST {
+            let many = request_classes.len();
+            return Err(fault(
+                "settings.request_classes",
+                format!("{many} classes, 1 to {CLASSES_MOST} can be"),
+            ));
+        }
+        let classes = request_classes.iter().enumerate().map(|(k, class)| class_terms(k, class));
+        let terms = terms(&sheet.settings, classes.collect::<Result<_, _>>()?)?;
+        let longest = request_classes.iter().map(|class| class.hard_limit_us).max().unwrap_or_default();
+        let names = Names {
+            classes: request_classes.iter().map(|class| class.name.clone()).collect(),
+            zones: zones.clone(),
+            kinds: host_types.clone(),
+            longest_wait: seconds(longest, "settings.request_classes")?,
+        };
+        let known = sheet.known.check(&names);
+        if !known.spoilt.is_empty() {
+            let many = known.spoilt.len();
+            return Err(fault("known.instances", format!("{many} entries cannot be read")));
+        }
+        Ok(Assignment {
+            name: sheet.name,
+            listen: sheet.listen,
+            discovery: sheet.discovery,
+            relay: sheet.registry.address,
+            sockets: sheet.limits.sockets,
+            memory_mb: amount(sheet.limits.memory_mb, "limits.memory_mb")? as usize,
+            tick: seconds(sheet.settings.tick_us, "settings.tick_us")?,
+            connect_within: seconds(ceilings.connect_timeout_us, "settings.ceilings.connect_timeout_us")?,
+            known,
+            terms,
+            names,
+        })
+    }
+
+    /// The list it starts with, in the module's words.
+    pub fn first_list(&self) -> HostList {
+        HostList { whole: true, entries: self.known.entries.iter().map(|entry| entry.listed).collect() }
+    }
+}
+
+fn class_terms(k: usize, class: &Class) -> Result<ClassTerms, AssignmentFault> {
+    let at = |field: &str| format!("settings.request_classes[{k}].{field}");
+    Ok(ClassTerms {
+        contract_time: seconds(class.aim_us, &at("aim_us"))?,
+        gain: amount(class.worth, &at("worth"))?,
+        repeat: match (class.effect.as_str(), class.group.as_str()) {
+            ("repeatable", _) => Repeat::Safe,
+            ("by_key", "all") => Repeat::KeyedEverywhere(seconds(class.key_ttl_us, &at("key_ttl_us"))?),
+            ("by_key", _) => Repeat::KeyedNearby,
+            ("once", _) => Repeat::Never,
+            (other, _) => return Err(fault(&at("effect"), format!("cannot be '{other}'"))),
+        },
+    })
+}
+
+fn terms(told: &Told, classes: Vec<ClassTerms>) -> Result<Terms, AssignmentFault> {
+    let Told { ceilings, family_info: family, rules, .. } = told;
+    Ok(Terms {
+        classes,
+        slices: family.key_ranges,
+        single_owner: family.exclusive,
+        may_probe: ceilings.probes,
+        dropped_may_stay: rules.removal_not_binding,
+        levels_by_share: family.throttle_by == "share",
+        cold_from: amount(rules.cold_from, "settings.rules.cold_from")?,
+        warm_within: seconds(rules.warm_within_us, "settings.rules.warm_within_us")?,
+        fall_multiple: amount(rules.fall_multiple, "settings.rules.fall_multiple")?,
+        backlog: amount(family.backlog, "settings.family_info.backlog")?,
+        message_cost: amount(family.envelope, "settings.family_info.envelope")?,
+        message_cap: family.update_cap,
+        messages_span: seconds(family.messages_over_us, "settings.family_info.messages_over_us")?,
+        first_wait: amount(family.first_wait, "settings.family_info.first_wait")?,
+    })
+}
--- /dev/null
+++ b/crates/railhub-platform/src/collector.rs
@@ -0,0 +1,143 @@
+//! What comes to the steward's own address: a zone's collector with its reports, signs of life, and strangers.
+use crate::assignment::Names;
+use crate::Spoilt;
+use railhub::{DemandSum, HostId, Seconds, SliceId, TrySum, ZoneId};
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+
+/// Seconds one report may cover, and tries it may tell of: what is past them is no report.
+const LONGEST_SPAN: Seconds = 60.0;
+const MOST_TRIES: f64 = 1e6;
+/// Times the longest wait of a client that a mean of good tries may seem to be: reports are noisy.
+const NOISE: f64 = 2.0;
+/// Bytes a message may have, and one of a peer that has not joined: it has nothing long to say.
+pub const MESSAGE_LIMIT: usize = 1 << 20;
+pub const FIRST_LIMIT: usize = 1 << 10;
+
+#[derive(Clone, Debug)]
+pub enum Frame {
+    Ping,
+    Collector(ZoneId),
+    Tries(TrySum),
+    Demand(DemandSum),
+}
+
+#[derive(Deserialize)]
+struct Kind {
+    t: String,
+}
+
+#[derive(Deserialize)]
+struct Collector {
+    zone: String,
+}
+
+#[derive(Deserialize)]
+struct Heard {
+    zone: String,
+    server: String,
+    tries: f64,
+    failed: f64,
+    mean_ms: f64,
+    span_ms: f64,
+    #[serde(default)]
+    load: Option<Load>,
+}
+
+#[derive(Deserialize)]
+struct Load {
+    #[serde(default)]
+    inflight: Option<f64>,
+    #[serde(default)]
+    util: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Heat {
+    slice: u16,
+    class: String,
+    tries: f64,
+    failed: f64,
+    span_ms: f64,
+}
+
+/// Fields into `T`; unknown ones are passed over without recursion.
+fn fields<T: DeserializeOwned>(body: &[u8]) -> Result<T, Spoilt> {
+    serde_json::from_slice(body).map_err(|_| Spoilt::Fields)
+}
+
+/// `slices`: how many there are.
+pub fn read(body: &[u8], names: &Names, slices: u16) -> Result<Frame, Spoilt> {
+    let kind: Kind = serde_json::from_slice(body).map_err(|_| Spoilt::Unreadable)?;
+    match kind.t.as_str() {
+        "ping" => Ok(Frame::Ping),
+        "collector" => {
+            let named: Collector = fields(body)?;
+            names.zone(&named.zone).map(Frame::Collector).ok_or(Spoilt::Unknown)
+        }
+        "heard" => fields::<Heard>(body)?.check(names).map(Frame::Tries),
+        "heat" => fields::<Heat>(body)?.check(names, slices).map(Frame::Demand),
+        _ => Err(Spoilt::Kind),
+    }
+}
+
+fn within(figure: f64, most: f64) -> Result<f64, Spoilt> {
+    if (0.0..=most).contains(&figure) {
+        Ok(figure)
+    } else {
+        Err(Spoilt::Range)
+    }
+}
+
+fn span(span_ms: f64) -> Result<Seconds, Spoilt> {
+    let span = within(span_ms / 1e3, LONGEST_SPAN)?;
+    if span > 0.0 {
+        Ok(span)
+    } else {
+        Err(Spoilt::Range)
+    }
+}
+
+impl Heard {
+    fn check(&self, names: &Names) -> Result<TrySum, Spoilt> {
+        let tries = within(self.tries, MOST_TRIES)?;
+        let load = self.load.as_ref();
+        load.and_then(|load| load.inflight).map_or(Ok(0.0), |held| within(held, MOST_TRIES))?;
+        Ok(TrySum {
+            zone: names.zone(&self.zone).ok_or(Spoilt::Unknown)?,
+            host: HostId::new(&self.server).ok_or(Spoilt::Unknown)?,
+            tries,
+            failed: within(self.failed, tries)?,
+            mean_time: within(self.mean_ms / 1e3, NOISE * names.longest_wait)?,
+            span: span(self.span_ms)?,
+            busy: load.and_then(|load| load.util).map(|util| within(util, NOISE)).transpose()?,
+        })
+    }
+}
+
+impl Heat {
+    fn check(&self, names: &Names, slices: u16) -> Result<DemandSum, Spoilt> {
+        let operations = within(self.tries, MOST_TRIES)?;
+        within(self.failed, operations)?;
+        if self.slice >= slices {
+            return Err(Spoilt::Unknown);
+        }
+        let class = names.class(&self.class).ok_or(Spoilt::Unknown)?;
+        Ok(DemandSum { slice: SliceId(self.slice), class, operations, span: span(self.span_ms)? })
+    }
+}
+
+/// What a stranger is told before its connection ends.
+pub fn refusal(why: Spoilt) -> Vec<u8> {
+    framed(&format!("{{\"t\":\"refused\",\"why\":\"{why}\"}}"))
+}
+
+pub fn pong() -> Vec<u8> {
+    framed("{\"t\":\"pong\"}")
+}
+
+fn framed(body: &str) -> Vec<u8> {
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(body.as_bytes());
+    bytes
+}
--- /dev/null
+++ b/crates/railhub-platform/src/desk.rs
@@ -0,0 +1,311 @@
+//! Gathers what came in into rounds, runs the module on them, and keeps what it orders until the relay took it.
+//! What the relay says to stand replaces what the module believed of proxies, charges and lines.
+use crate::assignment::{Assignment, Names};
+use crate::discovery::Page;
+use crate::news::{Answer, News};
+use crate::orders::{Call, Draft, Order, Waiting};
+use railhub::{
+    Charge, DemandSum, HostId, Phase, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward, StreamChange,
+    TimerId, TrySum,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Seconds without a word after which what stands has been told whole, unless a sign of life says so sooner.
+const STANDING_QUIET: Seconds = 0.1;
+/// Seconds without a word after which a slice that was given has all its lines: they follow at once.
+const CHARGE_QUIET: Seconds = 0.02;
+/// Part by which two weights of a line may differ and be the same.
+const SAME_WEIGHT: f64 = 1e-6;
+/// Sums that a round may hold; further ones are dropped, as the next say more.
+const SUMS_A_ROUND: usize = 8192;
+
+/// What the relay tells to stand, while it tells it.
+#[derive(Default)]
+struct Standing {
+    proxies: BTreeMap<ProxyId, bool>,
+    charges: BTreeMap<SliceId, Vec<(HostId, f64)>>,
+    told_at: Seconds,
+}
+
+/// What the desk asks of the sockets after a round, and tells the log.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub probes: Vec<(HostId, SocketAddr)>,
+    pub notes: Vec<String>,
+    /// It ran a round.
+    pub rounds: u64,
+    /// Seconds by which a turn came late.
+    pub late: Vec<Seconds>,
+}
+
+pub struct Desk {
+    steward: Steward,
+    names: Names,
+    tick: Seconds,
+    round: Round,
+    ran_at: Seconds,
+    /// Something came since the last round.
+    news: bool,
+    standing: Option<Standing>,
+    /// The relay has told once what stands: until then nothing is ordered.
+    informed: bool,
+    charges_at: Seconds,
+    charges: Vec<Charge>,
+    timers: Vec<(Seconds, TimerId)>,
+    generation: u64,
+    addresses: BTreeMap<HostId, SocketAddr>,
+    proxies: BTreeMap<ProxyId, ()>,
+    waiting: Waiting,
+    calling: bool,
+    pub sums_dropped: u64,
+}
+
+impl Desk {
+    pub fn new(assignment: &Assignment) -> Desk {
+        let mut desk = Desk {
+            steward: Steward::new(assignment.terms.clone()),
+            names: assignment.names.clone(),
+            tick: assignment.tick,
+            round: Round::default(),
+            ran_at: 0.0,
+            news: true,
+            standing: None,
+            informed: false,
+            charges_at: 0.0,
+            charges: Vec::new(),
+            timers: Vec::new(),
+            generation: 0,
+            addresses: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            waiting: Waiting::default(),
+            calling: false,
+            sums_dropped: 0,
+        };
+        desk.hear_page(&assignment.known);
+        desk
+    }
+
+    /// The list's version that the module knows.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// A page that is older than what is known, or known already, says nothing.
+    pub fn hear_page(&mut self, page: &Page) -> bool {
+        if page.generation < self.generation || page.generation == self.generation && !page.whole {
+            return false;
+        }
+        self.generation = page.generation;
+        if page.whole {
+            self.addresses.clear();
+        }
+        for entry in &page.entries {
+            if entry.listed.phase == Phase::Gone {
+                self.addresses.remove(&entry.listed.host);
+            } else {
+                self.addresses.insert(entry.listed.host, entry.address);
+            }
+        }
+        self.round.lists.push(page.list());
+        self.news = true;
+        true
+    }
+
+    pub fn hear_tries(&mut self, sum: TrySum) {
+        if self.round.tries.len() < SUMS_A_ROUND {
+            self.round.tries.push(sum);
+            self.news = true;
+        } else {
+            self.sums_dropped += 1;
+        }
+    }
+
+    pub fn hear_demand(&mut self, sum: DemandSum) {
+        if self.round.demand.len() < SUMS_A_ROUND {
+            self.round.demand.push(sum);
+            self.news = true;
+        } else {
+            self.sums_dropped += 1;
+        }
+    }
+
+    pub fn hear_probe(&mut self, result: ProbeResult) {
+        self.round.probes.push(result);
+        self.news = true;
+    }
+
+    pub fn hear_news(&mut self, now: Seconds, news: News) {
+        if news == News::Subscribed {
+            self.standing = Some(Standing { told_at: now, ..Standing::default() });
+            return;
+        }
+        if let Some(standing) = &mut self.standing {
+            if news == News::Ping {
+                return self.take_standing();
+            }
+            standing.told_at = now;
+            match news {
+                News::Joined { proxy, first } => _ = standing.proxies.insert(proxy, first),
+                News::Left(proxy) => _ = standing.proxies.remove(&proxy),
+                News::Given { slice, on: true } => _ = standing.charges.insert(slice, Vec::new()),
+                News::Given { slice, on: false } => _ = standing.charges.remove(&slice),
+                News::Held { slice, host, weight } => {
+                    standing.charges.entry(slice).or_default().push((host, weight));
+                }
+                News::Applied(confirmed) => self.round.confirmed.push(confirmed),
+                News::Subscribed | News::Ping => {}
+            }
+            return;
+        }
+        self.news |= news != News::Ping;
+        match news {
+            News::Joined { proxy, first } => self.stream(proxy, true, first),
+            News::Left(proxy) => self.stream(proxy, false, false),
+            News::Applied(confirmed) => self.round.confirmed.push(confirmed),
+            News::Given { slice, on } => {
+                self.charges_at = now;
+                self.charges.push(Charge { slice, given: on, lines: Vec::new() });
+            }
+            News::Held { slice, host, weight } => {
+                self.charges_at = now;
+                if let Some(charge) = self.charges.iter_mut().rev().find(|charge| charge.slice == slice) {
+                    charge.lines.push((host, weight));
+                }
+            }
+            News::Subscribed | News::Ping => {}
+        }
+    }
+
+    fn stream(&mut self, proxy: ProxyId, up: bool, first: bool) {
+        if up {
+            self.proxies.insert(proxy, ());
+        } else {
+            self.proxies.remove(&proxy);
+        }
+        self.round.streams.push(StreamChange { proxy, up, first });
+    }
+
+    /// What the relay told to stand replaces what was believed.
+    fn take_standing(&mut self) {
+        let Some(standing) = self.standing.take() else { return };
+        self.informed = true;
+        self.news = true;
+        // What came before this subscription is part of what stands.
+        self.charges.clear();
+        self.round.charges.clear();
+        self.round.streams.clear();
+        let absent: Vec<ProxyId> =
+            self.proxies.keys().copied().filter(|proxy| !standing.proxies.contains_key(proxy)).collect();
+        absent.into_iter().for_each(|proxy| self.stream(proxy, false, false));
+        // One that is believed joined may have left and come back unheard: it counts as joined anew.
+        standing.proxies.iter().for_each(|(proxy, first)| self.stream(*proxy, true, *first));
+        let mut believed: BTreeMap<SliceId, Vec<(HostId, f64)>> =
+            self.steward.charges().map(|(slice, lines)| (slice, lines.to_vec())).collect();
+        for (slice, stored) in standing.charges {
+            let lines = self.waiting.settled(slice, &stored);
+            let belief = believed.remove(&slice);
+            if !belief.is_some_and(|belief| same_lines(&belief, &lines)) {
+                self.round.charges.push(Charge { slice, given: true, lines });
+            }
+        }
+        let taken = believed.into_keys().map(|slice| Charge { slice, given: false, lines: Vec::new() });
+        self.round.charges.extend(taken);
+    }
+
+    /// When [`Desk::act`] has something to do, if nothing comes in before.
+    pub fn next_due(&self) -> Option<Seconds> {
+        let standing = self.standing.as_ref().map(|standing| standing.told_at + STANDING_QUIET);
+        let charges = (!self.charges.is_empty()).then_some(self.charges_at + CHARGE_QUIET);
+        let timer = self.timers.iter().map(|(at, _)| *at).min_by(f64::total_cmp);
+        let news = self.news.then_some(self.ran_at + self.tick);
+        let running = [charges, timer, news].into_iter().flatten().filter(|_| self.informed);
+        running.chain(standing).min_by(f64::total_cmp)
+    }
+
+    /// Runs a round if one is due.
+    pub fn act(&mut self, now: Seconds) -> Asked {
+        let mut asked = Asked::default();
+        if self.standing.as_ref().is_some_and(|standing| now - standing.told_at >= STANDING_QUIET) {
+            self.take_standing();
+        }
+        if !self.charges.is_empty() && now - self.charges_at >= CHARGE_QUIET {
+            self.round.charges.append(&mut self.charges);
+            self.news = true;
+        }
+        let due = self.timers.iter().any(|(at, _)| *at <= now);
+        if !self.informed || !(due || self.news && now - self.ran_at >= self.tick) {
+            return asked;
+        }
+        let (rung, left) = self.timers.drain(..).partition(|(at, _)| *at <= now);
+        self.timers = left;
+        asked.late.extend(rung.iter().map(|(at, _): &(Seconds, TimerId)| now - at));
+        let mut round = std::mem::take(&mut self.round);
+        round.timers.extend(rung.into_iter().map(|(_, timer)| timer));
+        round.now = now;
+        (self.ran_at, self.news) = (now, false);
+        let mut draft =
+            Draft { waiting: &mut self.waiting, probes: Vec::new(), wakes: Vec::new(), notes: Vec::new() };
+        self.steward.round(&round, &mut draft);
+        let Draft { probes, wakes, notes, .. } = draft;
+        self.timers.extend(wakes.into_iter().map(|(after, timer)| (now + after, timer)));
+        let addresses = &self.addresses;
+        asked.probes = probes.into_iter().filter_map(|host| Some((host, *addresses.get(&host)?))).collect();
+        (asked.notes, asked.rounds) = (notes, 1);
+        asked
+    }
+
+    /// The next call to the relay, if none is out: the caller must bring back how it ended.
+    pub fn next_call(&mut self) -> Option<Call> {
+        if self.calling {
+            return None;
+        }
+        let call = self.waiting.call(&self.names.classes);
+        self.calling = call.is_some();
+        call
+    }
+
+    /// How the call ended; `None`: not known, or it was not let in, so that it is to be made again. Tells the log
+    /// what was dropped.
+    pub fn end_call(&mut self, answer: Option<Answer>) -> Option<String> {
+        self.calling = false;
+        match answer {
+            None | Some(Answer::TurnedAway) => None,
+            Some(Answer::Malformed) => {
+                let count = self.waiting.drop_call();
+                Some(format!("the relay cannot read a call: {count} orders are dropped"))
+            }
+            Some(Answer::Taken(count)) => {
+                let stopped: Option<Order> = self.waiting.taken(count);
+                stopped.map(|order| format!("the relay does not take an order, which is dropped: {order:?}"))
+            }
+        }
+    }
+
+    /// Orders were lost: what the relay holds must be asked for anew.
+    pub fn must_ask_anew(&mut self) -> bool {
+        std::mem::take(&mut self.waiting.overflowed)
+    }
+
+    pub fn is_informed(&self) -> bool {
+        self.informed
+    }
+
+    pub fn joined(&self) -> usize {
+        self.proxies.len()
+    }
+
+    pub fn hosts(&self) -> usize {
+        self.addresses.len()
+    }
+
+    pub fn orders_waiting(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
+fn same_lines(believed: &[(HostId, f64)], stored: &[(HostId, f64)]) -> bool {
+    let alike = |a: f64, b: f64| (a - b).abs() <= SAME_WEIGHT * a.abs().max(b.abs());
+    believed.len() == stored.len()
+        && believed.iter().all(|(host, weight)| stored.iter().any(|(h, w)| h == host && alike(*w, *weight)))
+}
--- /dev/null
+++ b/crates/railhub-platform/src/discovery.rs
@@ -0,0 +1,93 @@
+//! Discovery's pages: the list of hosts, whole or what changed.
+use crate::assignment::Names;
+use crate::Spoilt;
+use railhub::{HostId, HostList, Listed, Phase};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A checked entry: what the module is told, and where the host can be probed from here.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub listed: Listed,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    pub generation: u64,
+    /// The whole list, so that what it lacks is gone.
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+    /// Why entries were left out.
+    pub spoilt: Vec<Spoilt>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct RawPage {
+    generation: u64,
+    reset: bool,
+    instances: Vec<Instance>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: String,
+    #[serde(default)]
+    machine_type: String,
+    lifecycle: String,
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+pub fn read(line: &[u8], names: &Names) -> Result<Page, Spoilt> {
+    let raw: RawPage = serde_json::from_slice(line).map_err(|fault| match fault.classify() {
+        serde_json::error::Category::Data => Spoilt::Fields,
+        _ => Spoilt::Unreadable,
+    })?;
+    Ok(raw.check(names))
+}
+
+impl RawPage {
+    /// A whole list that lacks an entry for being spoilt must not make that host gone: it counts as changes.
+    pub fn check(&self, names: &Names) -> Page {
+        let mut page =
+            Page { generation: self.generation, whole: self.reset, entries: Vec::new(), spoilt: Vec::new() };
+        for instance in &self.instances {
+            match instance.check(names) {
+                Ok(entry) => page.entries.push(entry),
+                Err(fault) => page.spoilt.push(fault),
+            }
+        }
+        page.whole &= page.spoilt.is_empty();
+        page
+    }
+}
+
+impl Page {
+    pub fn list(&self) -> HostList {
+        HostList { whole: self.whole, entries: self.entries.iter().map(|entry| entry.listed).collect() }
+    }
+}
+
+impl Instance {
+    fn check(&self, names: &Names) -> Result<Entry, Spoilt> {
+        let phase = match self.lifecycle.as_str() {
+            "ready" => Phase::Ready,
+            "draining" => Phase::Draining,
+            "gone" => Phase::Gone,
+            _ => return Err(Spoilt::Unknown),
+        };
+        let sane = |figure: f64| figure.is_finite() && figure >= 0.0;
+        if !sane(self.weight) || !sane(self.started_at_ms) {
+            return Err(Spoilt::Range);
+        }
+        let host = HostId::new(&self.instance_id).ok_or(Spoilt::Fields)?;
+        let address = self.host_port.parse().map_err(|_| Spoilt::Fields)?;
+        let started = (self.started_at_ms > 0.0).then_some(self.started_at_ms / 1e3);
+        let kind = names.kind(&self.machine_type);
+        Ok(Entry { listed: Listed { host, phase, started, weight: self.weight, kind }, address })
+    }
+}
--- /dev/null
+++ b/crates/railhub-platform/src/news.rs
@@ -0,0 +1,159 @@
+//! The relay's lines: news that a subscription brings, and answers to calls.
+use crate::Spoilt;
+use railhub::{Confirmed, HostId, MarkId, ProxyId, SliceId};
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+
+/// Bytes of a line: a call is far shorter, and a piece of news shorter still.
+pub const LINE_LIMIT: usize = 64 << 10;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// The subscription stands; what the relay holds follows.
+    Subscribed,
+    Ping,
+    Joined {
+        proxy: ProxyId,
+        first: bool,
+    },
+    Left(ProxyId),
+    Applied(Confirmed),
+    Given {
+        slice: SliceId,
+        on: bool,
+    },
+    Held {
+        slice: SliceId,
+        host: HostId,
+        weight: f64,
+    },
+}
+
+/// How the relay ended a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Taken(usize),
+    /// Calls are not let in yet.
+    TurnedAway,
+    /// It is no call to the relay: said again it would end alike.
+    Malformed,
+}
+
+#[derive(Deserialize)]
+struct Head {
+    method: Option<String>,
+    #[serde(default)]
+    result: Option<bool>,
+}
+
+#[derive(Deserialize)]
+struct Line<T> {
+    params: T,
+}
+
+#[derive(Deserialize)]
+struct Joined {
+    proxy: u16,
+    fresh: bool,
+}
+
+#[derive(Deserialize)]
+struct Left {
+    proxy: u16,
+}
+
+#[derive(Deserialize)]
+struct Applied {
+    proxy: u16,
+    mark: u16,
+}
+
+#[derive(Deserialize)]
+struct Given {
+    slice: u16,
+    on: bool,
+}
+
+#[derive(Deserialize)]
+struct Held {
+    slice: u16,
+    server: String,
+    weight: f64,
+}
+
+fn params<T: DeserializeOwned>(line: &[u8]) -> Result<T, Spoilt> {
+    serde_json::from_slice::<Line<T>>(line).map(|line| line.params).map_err(|_| Spoilt::Fields)
+}
+
+pub fn read(line: &[u8]) -> Result<News, Spoilt> {
+    let head: Head = serde_json::from_slice(line).map_err(|_| Spoilt::Unreadable)?;
+    let Some(method) = head.method else {
+        return if head.result == Some(true) { Ok(News::Subscribed) } else { Err(Spoilt::Kind) };
+    };
+    Ok(match method.as_str() {
+        "ping" => News::Ping,
+        "joined" => {
+            let joined: Joined = params(line)?;
+            News::Joined { proxy: ProxyId(joined.proxy), first: joined.fresh }
+        }
+        "left" => News::Left(ProxyId(params::<Left>(line)?.proxy)),
+        "applied" => {
+            let applied: Applied = params(line)?;
+            News::Applied(Confirmed { proxy: ProxyId(applied.proxy), mark: MarkId(applied.mark) })
+        }
+        "given" => {
+            let given: Given = params(line)?;
+            News::Given { slice: SliceId(given.slice), on: given.on }
+        }
+        "held" => {
+            let held: Held = params(line)?;
+            let host = HostId::new(&held.server).ok_or(Spoilt::Unknown)?;
+            if !(held.weight.is_finite() && held.weight >= 0.0) {
+                return Err(Spoilt::Range);
+            }
+            News::Held { slice: SliceId(held.slice), host, weight: held.weight }
+        }
+        _ => return Err(Spoilt::Kind),
+    })
+}
+
+#[derive(Deserialize)]
+struct Ended {
+    id: u64,
+    #[serde(default)]
+    result: Option<Taken>,
+    #[serde(default)]
+    error: Option<serde::de::IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct Taken {
+    taken: usize,
+}
+
+/// The answer to call `id` of so many orders; whatever else a line says, the call's outcome is not known.
+pub fn answer(line: &[u8], id: u64, count: usize) -> Result<Answer, Spoilt> {
+    let ended: Ended = serde_json::from_slice(line).map_err(|_| Spoilt::Fields)?;
+    if ended.id != id {
+        return Err(Spoilt::Unknown);
+    }
+    match (ended.result, ended.error) {
+        (Some(Taken { taken }), None) if taken <= count => Ok(Answer::Taken(taken)),
+        (Some(_), None) => Err(Spoilt::Range),
+        // The error's form is not stated: it names its cause somewhere.
+        (None, Some(_)) => {
+            let says = |word: &[u8]| line.windows(word.len()).any(|part| part == word);
+            match (says(b"limit"), says(b"malformed")) {
+                (true, false) => Ok(Answer::TurnedAway),
+                (false, true) => Ok(Answer::Malformed),
+                _ => Err(Spoilt::Fields),
+            }
+        }
+        _ => Err(Spoilt::Fields),
+    }
+}
+
+/// The call that asks for news.
+pub fn subscribe(id: u64) -> Vec<u8> {
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"subscribe\"}}\n").into_bytes()
+}
--- /dev/null
+++ b/crates/railhub-platform/src/orders.rs
@@ -0,0 +1,225 @@
+//! What the module has ordered and the relay has not taken: folded, bounded, and said in calls.
+use railhub::{ClassId, HostId, MarkId, ProxyId, SecondTry, SliceId};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Bytes of a call: the relay takes 60,000 of orders, and the frame round them needs some.
+const CALL_BYTES: usize = 58_000;
+/// Orders that wait while the relay is out of reach: whole tables of some hundred slices, many times over.
+/// Past them all are dropped, and what the relay holds is asked for anew.
+const WAITING_MOST: usize = 20_000;
+
+/// What an order is about: a later one about the same makes an earlier one that still waits needless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum About {
+    Line(SliceId, HostId),
+    Host(HostId),
+    Level(ClassId),
+    Mark,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Order {
+    Line(SliceId, HostId, f64),
+    Shut(HostId, bool),
+    Level(ClassId, f64, SecondTry),
+    Mark(MarkId),
+}
+
+#[derive(Serialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+enum Said<'a> {
+    Share { table: u16, server: &'a str, weight: f64 },
+    Withdraw { server: &'a str },
+    Restore { server: &'a str },
+    Admit { classes: [&'a str; 1], level: f64, retry: u8 },
+    Mark { ticket: u16, on: u8 },
+}
+
+impl Order {
+    fn about(&self) -> About {
+        match *self {
+            Order::Line(slice, host, _) => About::Line(slice, host),
+            Order::Shut(host, _) => About::Host(host),
+            Order::Level(class, ..) => About::Level(class),
+            Order::Mark(_) => About::Mark,
+        }
+    }
+
+    fn say(&self, classes: &[String]) -> String {
+        let said = match self {
+            Order::Line(slice, host, weight) => {
+                Said::Share { table: slice.0, server: host.name(), weight: *weight }
+            }
+            Order::Shut(host, true) => Said::Withdraw { server: host.name() },
+            Order::Shut(host, false) => Said::Restore { server: host.name() },
+            Order::Level(class, level, again) => {
+                let name = classes.get(usize::from(class.0)).map_or("*", String::as_str);
+                Said::Admit { classes: [name], level: *level, retry: retries(*again) }
+            }
+            Order::Mark(mark) => Said::Mark { ticket: mark.0, on: 1 },
+        };
+        serde_json::to_string(&said).expect("names and numbers can be said")
+    }
+}
+
+fn retries(again: SecondTry) -> u8 {
+    match again {
+        SecondTry::Never => 0,
+        SecondTry::IfNeverRan => 1,
+        SecondTry::AfterFailure => 2,
+    }
+}
+
+/// A call that leaves: its bytes end the line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub id: u64,
+    pub count: usize,
+    pub bytes: Vec<u8>,
+}
+
+/// Orders that wait, in their order, and those of the call that is out.
+#[derive(Default)]
+pub struct Waiting {
+    queue: VecDeque<(u64, Order)>,
+    /// Where the order about a thing waits.
+    places: BTreeMap<About, u64>,
+    next: u64,
+    out: Vec<Order>,
+    calls: u64,
+    /// Orders were dropped for want of room: the relay's tables are not what the module believes.
+    pub overflowed: bool,
+    pub folded: u64,
+}
+
+impl Waiting {
+    pub fn push(&mut self, order: Order) {
+        let place = self.next;
+        self.next += 1;
+        if let Some(earlier) = self.places.insert(order.about(), place) {
+            if let Ok(at) = self.queue.binary_search_by_key(&earlier, |(place, _)| *place) {
+                self.queue.remove(at);
+                self.folded += 1;
+            }
+        }
+        self.queue.push_back((place, order));
+        if self.queue.len() > WAITING_MOST {
+            self.queue.clear();
+            self.places.clear();
+            self.overflowed = true;
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.out.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.queue.len() + self.out.len()
+    }
+
+    /// The call to make now: what is out and not settled, said again, or else what waits.
+    pub fn call(&mut self, classes: &[String]) -> Option<Call> {
+        let again = !self.out.is_empty();
+        if !again && self.queue.is_empty() {
+            return None;
+        }
+        self.calls += 1;
+        let head = format!(
+            "{{\"jsonrpc\":\"2.0\",\"id\":{},\"method\":\"commit\",\"params\":{{\"orders\":[",
+            self.calls
+        );
+        let mut bytes = head.into_bytes();
+        for place in 0.. {
+            let next = if again { self.out.get(place) } else { self.queue.front().map(|(_, order)| order) };
+            let Some(order) = next else { break };
+            let said = order.say(classes);
+            if !again && place > 0 && bytes.len() + said.len() + 1 > CALL_BYTES {
+                break;
+            }
+            if place > 0 {
+                bytes.push(b',');
+            }
+            bytes.extend_from_slice(said.as_bytes());
+            if !again {
+                self.take_front();
+            }
+        }
+        bytes.extend_from_slice(b"]}}\n");
+        Some(Call { id: self.calls, count: self.out.len(), bytes })
+    }
+
+    fn take_front(&mut self) {
+        let Some((place, order)) = self.queue.pop_front() else { return };
+        if self.places.get(&order.about()) == Some(&place) {
+            self.places.remove(&order.about());
+        }
+        self.out.push(order);
+    }
+
+    /// The relay took so many of the call that is out. Hands back the one it stopped at, which is dropped; those
+    /// behind it are said again.
+    pub fn taken(&mut self, count: usize) -> Option<Order> {
+        self.out.drain(..count.min(self.out.len()));
+        (!self.out.is_empty()).then(|| self.out.remove(0))
+    }
+
+    /// The call that is out can't be carried out.
+    pub fn drop_call(&mut self) -> usize {
+        std::mem::take(&mut self.out).len()
+    }
+
+    /// What a table will hold once all that is out and waits has been taken.
+    pub fn settled(&self, slice: SliceId, stored: &[(HostId, f64)]) -> Vec<(HostId, f64)> {
+        let mut lines: BTreeMap<HostId, f64> = stored.iter().copied().collect();
+        for order in self.out.iter().chain(self.queue.iter().map(|(_, order)| order)) {
+            match order {
+                Order::Line(of, host, weight) if *of == slice && *weight > 0.0 => {
+                    lines.insert(*host, *weight);
+                }
+                Order::Line(of, host, _) if *of == slice => {
+                    lines.remove(host);
+                }
+                _ => {}
+            }
+        }
+        lines.into_iter().collect()
+    }
+}
+
+/// Takes a round's decisions: orders to the relay, probes, timers and notes apart.
+pub struct Draft<'a> {
+    pub waiting: &'a mut Waiting,
+    pub probes: Vec<HostId>,
+    pub wakes: Vec<(railhub::Seconds, railhub::TimerId)>,
+    pub notes: Vec<String>,
+}
+
+impl railhub::Orders for Draft<'_> {
+    fn set_line(&mut self, slice: SliceId, host: HostId, weight: f64) {
+        self.waiting.push(Order::Line(slice, host, weight));
+    }
+    fn hand_table(&mut self, table: SliceId, proxy: ProxyId) {
+        self.notes
+            .push(format!("the platform hands no table: {} for proxy {} is left out", table.0, proxy.0));
+    }
+    fn set_level(&mut self, class: ClassId, share: f64, second_try: SecondTry) {
+        self.waiting.push(Order::Level(class, share, second_try));
+    }
+    fn shut_out(&mut self, host: HostId, out: bool) {
+        self.waiting.push(Order::Shut(host, out));
+    }
+    fn mark(&mut self, mark: MarkId) {
+        self.waiting.push(Order::Mark(mark));
+    }
+    fn probe(&mut self, host: HostId) {
+        self.probes.push(host);
+    }
+    fn wake(&mut self, after: railhub::Seconds, timer: railhub::TimerId) {
+        self.wakes.push((after, timer));
+    }
+    fn note(&mut self, text: &str) {
+        self.notes.push(text.to_owned());
+    }
+}
--- a/crates/railhub-steward/src/intake.rs
+++ b/crates/railhub-steward/src/intake.rs
@@ -67,8 +67,8 @@
     pub fn add(&mut self, zone: ZoneId, sums: &Sums, proxies: usize) {
         self.cover += sums.span / proxies.max(1) as f64;
         for sum in &sums.hosts {
-            let Ok(host) = sum.host.parse() else { continue };
-            let Some(total) = self.total(Key::Tries(zone, HostId(host))) else { continue };
+            let Some(host) = HostId::new(&sum.host) else { continue };
+            let Some(total) = self.total(Key::Tries(zone, host)) else { continue };
             total.amount += f64::from(sum.tries);
             total.failed += f64::from(sum.failed);
             total.good_time += sum.good_time;
--- a/crates/railhub-steward/src/outbox.rs
+++ b/crates/railhub-steward/src/outbox.rs
@@ -190,7 +190,7 @@
     }
 
     fn line(version: u64, slice: u16, weight: f64) -> Arc<Publication> {
-        let host = HostId("127.0.0.1:8000".parse().expect("an address"));
+        let host = HostId::new("127.0.0.1:8000").expect("a name");
         let change = Change { lines: [((SliceId(slice), host), weight)].into(), ..Change::default() };
         Arc::new(Publication::new(change, 1, version, version as f64, Some(MarkId(version as u16))))
     }
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -65,7 +65,7 @@
         }
         for (host, out) in &change.shut {
             let cause = if *out { "host is shut out of all tables" } else { "host is let in again" };
-            tracing::info!(host = %host.0, cause, "decision");
+            tracing::info!(host = %host, cause, "decision");
         }
         tracing::debug!(version, lines = change.cost(), "a delta leaves");
     }
--- a/crates/railhub-steward/src/probes.rs
+++ b/crates/railhub-steward/src/probes.rs
@@ -56,11 +56,13 @@
 
 /// A connection of its own each time: whether the host can be reached is half of the question.
 fn probe(host: HostId, within: Seconds) -> ProbeEnd {
-    match Caller::new(host.0, seconds(within)).call("GET", "/probe", &[]) {
+    // A name that is no address cannot be asked.
+    let Some(address) = host.address() else { return ProbeEnd::Unreachable };
+    match Caller::new(address, seconds(within)).call("GET", "/probe", &[]) {
         Ok(_) => ProbeEnd::Answered,
         Err(HttpFault::Status(503)) => ProbeEnd::TurnedAway,
         Err(HttpFault::Silent | HttpFault::Status(_)) => ProbeEnd::Failed,
-        Err(HttpFault::Unreached(_) | HttpFault::Broken(_) | HttpFault::Malformed(_)) => {
+        Err(HttpFault::Unreached(_) | HttpFault::Broken(_) | HttpFault::Ended | HttpFault::Malformed(_)) => {
             ProbeEnd::Unreachable
         }
     }
--- a/crates/railhub-steward/src/roster.rs
+++ b/crates/railhub-steward/src/roster.rs
@@ -74,5 +74,11 @@
         return Err(HttpFault::Malformed(format!("weight {} of {}", entry.weight, entry.host)));
     }
     let started = entry.started.filter(|at| at.is_finite());
-    Ok(Listed { host: HostId(entry.host), phase, started, weight: entry.weight, kind: KindId(entry.kind) })
+    Ok(Listed {
+        host: HostId::from(entry.host),
+        phase,
+        started,
+        weight: entry.weight,
+        kind: KindId(entry.kind),
+    })
 }
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -1,5 +1,5 @@
 //! Starts a steward's parts in their order, and stops them.
-use crate::inbox::{Inbox, Word};
+use crate::inbox::{inbox, Inbox, Word};
 use crate::installation::Installation;
 use crate::kernel::Figures;
 use crate::outbox::MessageCap;
@@ -37,7 +37,7 @@
 impl Running {
     pub fn start(installation: Installation) -> Result<Running, StartFault> {
         let traffic = TrafficWriter::start(&installation, now())?;
-        let inbox = Arc::new(Inbox::default());
+        let inbox = Arc::new(inbox());
         let shown = Arc::new(Mutex::new(Figures::default()));
         let streams = StreamTerms {
             first_within: installation.first_within,
--- a/crates/railhub-steward/src/store.rs
+++ b/crates/railhub-steward/src/store.rs
@@ -56,7 +56,11 @@
                 let charges = tables.into_iter().map(|table| Charge {
                     slice: SliceId(table.slice),
                     given: true,
-                    lines: table.lines.into_iter().map(|(host, weight)| (HostId(host), weight)).collect(),
+                    lines: table
+                        .lines
+                        .into_iter()
+                        .map(|(host, weight)| (HostId::from(host), weight))
+                        .collect(),
                 });
                 inbox.tell(Word::Charges(charges.collect()));
                 return;
@@ -93,7 +97,7 @@
     let tables: Vec<StoredTable> = (batch.iter())
         .map(|(slice, lines)| StoredTable {
             slice: slice.0,
-            lines: lines.iter().map(|(host, weight)| (host.0, *weight)).collect(),
+            lines: lines.iter().filter_map(|(host, weight)| Some((host.address()?, *weight))).collect(),
         })
         .collect();
     caller.tell("/tables", &tables)
--- a/crates/railhub-steward/src/tables.rs
+++ b/crates/railhub-steward/src/tables.rs
@@ -78,7 +78,7 @@
             lines: (self.lines.iter())
                 .map(|((slice, host), weight)| TableLine {
                     slice: slice.0.into(),
-                    host: host.0.to_string(),
+                    host: host.to_string(),
                     weight: *weight,
                 })
                 .collect(),
@@ -89,9 +89,7 @@
                     again: way_again(*again).into(),
                 })
                 .collect(),
-            shut: (self.shut.iter())
-                .map(|(host, out)| Shut { host: host.0.to_string(), out: *out })
-                .collect(),
+            shut: (self.shut.iter()).map(|(host, out)| Shut { host: host.to_string(), out: *out }).collect(),
             handed: self.handed.map(|table| table.0.into()),
         }
     }
@@ -194,7 +192,7 @@
     use proptest::prelude::*;
 
     pub fn host(n: u16) -> HostId {
-        HostId(format!("127.0.0.1:{}", 8000 + n).parse().expect("an address"))
+        HostId::new(&format!("127.0.0.1:{}", 8000 + n)).expect("a name")
     }
 
     fn change(words: &[(u16, u16, u8)], clears: &[u16]) -> Change {
--- a/crates/railhub-versions/src/wire.rs
+++ b/crates/railhub-versions/src/wire.rs
@@ -77,7 +77,7 @@
             if let Some(started) = entry.started {
                 let _ = write!(out, " last_start_us={}", micros(started).max(1));
             }
-            let (weight, host, kind) = (entry.weight, entry.host.0, entry.kind.0);
+            let (weight, host, kind) = (entry.weight, entry.host, entry.kind.0);
             let _ = writeln!(out, " w={weight} host={host} stripe=0 zone=zone-0 flavor=kind-{kind}");
         }
     }
@@ -96,11 +96,11 @@
         let slice = charge.slice.0;
         let _ = writeln!(out, "TENURE sheet={slice} on={}", u8::from(charge.given));
         for (host, weight) in &charge.lines {
-            let _ = writeln!(out, "STORED_LINE sheet={slice} host={} w={weight}", host.0);
+            let _ = writeln!(out, "STORED_LINE sheet={slice} host={} w={weight}", host);
         }
     }
     for sum in &round.tries {
-        let (zone, host, time, span) = (sum.zone.0, sum.host.0, micros(sum.mean_time), micros(sum.span));
+        let (zone, host, time, span) = (sum.zone.0, sum.host, micros(sum.mean_time), micros(sum.span));
         let _ = write!(out, "HEARD zone=zone-{zone} host={host} total={} failed={}", sum.tries, sum.failed);
         let _ = write!(out, " rtt_us={time} over_us={span}");
         let _ = match sum.busy {
@@ -121,7 +121,7 @@
             ProbeEnd::Failed => FAILED,
             ProbeEnd::Unreachable => UNREACHABLE,
         };
-        let _ = writeln!(out, "HEALTH code={code} rtt_us=0 host={}", probe.host.0);
+        let _ = writeln!(out, "HEALTH code={code} rtt_us=0 host={}", probe.host);
     }
     for word in &round.confirmed {
         let _ = writeln!(out, "CONFIRMED edge={} rev={} rtt_us=0", word.proxy.0, word.mark.0);
@@ -165,7 +165,7 @@
     }
 
     fn host(&self) -> Result<HostId, String> {
-        Ok(HostId(self.get("host")?))
+        Ok(HostId::from(self.get::<std::net::SocketAddr>("host")?))
     }
 
     fn wrong(&self, field: &str, what: &str) -> String {
@@ -233,7 +233,7 @@
 
     #[test]
     fn a_round_is_written_line_by_line() {
-        let host = HostId("10.0.0.1:80".parse().expect("an address"));
+        let host = HostId::new("10.0.0.1:80").expect("a name");
         let listed = Listed { host, kind: KindId(2), phase: Phase::Ready, started: Some(1.5), weight: 4.0 };
         let sum = TrySum {
             zone: ZoneId(1),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -309,6 +309,11 @@
         }
     }
 
+    /// The slices in charge, and the lines that it believes each one's table has.
+    pub fn charges(&self) -> impl Iterator<Item = (SliceId, &[(HostId, f64)])> {
+        self.slices.iter().map(|(id, slice)| (*id, slice.written.as_slice()))
+    }
+
     pub fn round(&mut self, round: &Round, orders: &mut impl Orders) {
         let now = round.now;
         let turn = !std::mem::replace(&mut self.started, true) || !round.timers.is_empty();
@@ -432,7 +437,7 @@
                 if host.down {
                     host.down = false;
                     host.cold_since = if host.unreached { Some(now) } else { host.cold_since };
-                    orders.note(&format!("host {} answers", probe.host.0));
+                    orders.note(&format!("host {} answers", probe.host));
                 }
                 return false;
             }
@@ -451,7 +456,7 @@
         }
         host.down = true;
         host.phase = if host.dropped { Phase::Gone } else { host.phase };
-        orders.note(&format!("host {} is down: probes fail", probe.host.0));
+        orders.note(&format!("host {} is down: probes fail", probe.host));
         true
     }
 
@@ -583,11 +588,11 @@
             let worst = self.hosts[&host].pairs.values().map(|pair| pair.score).fold(1.0, f64::max);
             if worst <= RETURN_SCORE || !self.hosts[&host].usable() {
                 self.withdrawn = None;
-                orders.note(&format!("withdrawal of {} ends", host.0));
+                orders.note(&format!("withdrawal of {} ends", host));
             }
         } else if let Some(host) = outlier(&scores).filter(|_| !short) {
             self.withdrawn = Some(host);
-            orders.note(&format!("host {} is the outlier: withdrawn", host.0));
+            orders.note(&format!("host {} is the outlier: withdrawn", host));
         }
     }
 
@@ -793,11 +798,7 @@
 
 /// Weighted rendezvous hash: fixed, so that every steward and every restart agrees.
 fn rendezvous(slice: SliceId, host: HostId, weight: f64) -> f64 {
-    let address = match host.0.ip() {
-        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        std::net::IpAddr::V6(ip) => u128::from(ip) as u64,
-    };
-    let mut bits = address ^ (u64::from(host.0.port()) << 32) ^ (u64::from(slice.0) << 48);
+    let mut bits = host.hash() ^ (u64::from(slice.0) << 48);
     for _ in 0..2 {
         bits = bits.wrapping_add(0x9e37_79b9_7f4a_7c15);
         bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -35,7 +35,7 @@
 }
 
 fn host(n: u8) -> HostId {
-    HostId(SocketAddr::from(([10, 0, 0, n], 80)))
+    HostId::from(SocketAddr::from(([10, 0, 0, n], 80)))
 }
 
 fn class(repeat: Repeat, gain: f64) -> ClassTerms {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,11 +1,70 @@
 //! What passes between a steward and the program around it: ids, the terms it starts with, what a
 //! round brings, and the writer that takes its decisions. Times are seconds with fractions.
+use std::fmt;
 use std::net::SocketAddr;
 
 pub type Seconds = f64;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HostId(pub SocketAddr);
+/// Bytes that a host's name may have: ids of instances and addresses with ports fit well.
+const NAME_LIMIT: usize = 54;
+/// Start and factor of the FNV-1a hash, 64 bits.
+const FNV_START: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_FACTOR: u64 = 0x0000_0100_0000_01b3;
+
+/// Names a host and tells nothing else of it. It holds its name, so that no table of names outlives the hosts.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostId {
+    /// Filled up with zeros, so that the order is that of the names.
+    bytes: [u8; NAME_LIMIT],
+    length: u8,
+    hash: u64,
+}
+
+impl HostId {
+    /// `None`: the name is empty, too long or holds what a line of a log or a wire cannot.
+    pub fn new(name: &str) -> Option<HostId> {
+        let fits = !name.is_empty() && name.len() <= NAME_LIMIT && name.bytes().all(|b| b.is_ascii_graphic());
+        fits.then(|| {
+            let mut bytes = [0; NAME_LIMIT];
+            bytes[..name.len()].copy_from_slice(name.as_bytes());
+            let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_FACTOR);
+            HostId { bytes, length: name.len() as u8, hash: name.bytes().fold(FNV_START, mix) }
+        })
+    }
+
+    pub fn name(&self) -> &str {
+        std::str::from_utf8(&self.bytes[..usize::from(self.length)]).unwrap_or_default()
+    }
+
+    /// Made of the name alone: the same on every steward and after every restart.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Where hosts are named by the address that they listen at.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.name().parse().ok()
+    }
+}
+
+impl From<SocketAddr> for HostId {
+    fn from(address: SocketAddr) -> HostId {
+        HostId::new(&address.to_string()).expect("the longest address is shorter than the limit")
+    }
+}
+
+impl fmt::Display for HostId {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        out.write_str(self.name())
+    }
+}
+
+impl fmt::Debug for HostId {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        out.write_str(self.name())
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ProxyId(pub u16);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,7 +203,7 @@
 }
 
 /// A proxy has taken in the delta that bore the mark, and all before it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Confirmed {
     pub proxy: ProxyId,
     pub mark: MarkId,
