Hosts gone for long are forgotten; the platform's decoders, desk and process under test

Change: Steward::forget, 20 s after a host has gone and when no table names it; if it was shut out it is let in again first (Steward::shut_out), since proxies may meet its id anew. A message without its kind is spoilt alone, one that is no JSON ends its stream (collector.rs took both for the latter). Tests: decoders with 100,000 damaged inputs each, the desk with the real module, the process between a stand-in relay and a stand-in discovery.

--- /dev/null
+++ b/crates/railhub-cli/tests/platform.rs
@@ -0,0 +1,366 @@
+//! `railhub steward --platform` as a process, between a stand-in relay and a stand-in discovery on loopback.
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const FILE: &str = include_str!("../../railhub-platform/tests/assignment.json");
+/// Long for anything that should happen at once, on a machine that is busy with other tests.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mood {
+    Takes,
+    Limits,
+    SaysNothing,
+    Garbles,
+    BreaksOff,
+}
+
+struct Relay {
+    address: SocketAddr,
+    mood: Arc<Mutex<Mood>>,
+    /// Calls as they came, and how many subscribed.
+    calls: Arc<Mutex<Vec<String>>>,
+    subscribed: Arc<Mutex<usize>>,
+}
+
+impl Relay {
+    fn start() -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let relay = Relay {
+            address: listener.local_addr().expect("bound"),
+            mood: Arc::new(Mutex::new(Mood::Takes)),
+            calls: Arc::default(),
+            subscribed: Arc::default(),
+        };
+        let (mood, calls, subscribed) = (relay.mood.clone(), relay.calls.clone(), relay.subscribed.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (mood, calls, subscribed) = (mood.clone(), calls.clone(), subscribed.clone());
+                std::thread::spawn(move || serve_relay(stream, &mood, &calls, &subscribed));
+            }
+        });
+        relay
+    }
+
+    fn set(&self, mood: Mood) {
+        *self.mood.lock().expect("alive") = mood;
+    }
+
+    fn calls(&self) -> Vec<String> {
+        self.calls.lock().expect("alive").clone()
+    }
+
+    fn subscribed(&self) -> usize {
+        *self.subscribed.lock().expect("alive")
+    }
+}
+
+fn serve_relay(
+    mut stream: TcpStream,
+    mood: &Mutex<Mood>,
+    calls: &Mutex<Vec<String>>,
+    subscribed: &Mutex<usize>,
+) {
+    let reader = BufReader::new(stream.try_clone().expect("a descriptor"));
+    for line in reader.lines().map_while(Result::ok) {
+        let id =
+            line.split("\"id\":").nth(1).and_then(|rest| rest.split(',').next()).expect("an id").to_owned();
+        if line.contains("\"subscribe\"") {
+            *subscribed.lock().expect("alive") += 1;
+            let news = [
+                format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":true}}"),
+                r#"{"jsonrpc":"2.0","method":"joined","params":{"proxy":1,"zone":"a","weight":2,"fresh":true}}"#.into(),
+                r#"{"jsonrpc":"2.0","method":"given","params":{"slice":3,"on":true}}"#.into(),
+                r#"{"jsonrpc":"2.0","method":"held","params":{"slice":3,"server":"s-1","weight":1.0}}"#.into(),
+            ];
+            // In pieces of a few bytes.
+            for piece in format!("{}\n", news.join("\n")).as_bytes().chunks(37) {
+                stream.write_all(piece).expect("read");
+            }
+            let ping = b"{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
+            while stream.write_all(ping).is_ok() {
+                std::thread::sleep(Duration::from_millis(300));
+            }
+            return;
+        }
+        let count = line.matches("\"op\"").count();
+        calls.lock().expect("alive").push(line);
+        let answer = match *mood.lock().expect("alive") {
+            Mood::Takes => format!("{{\"id\":{id},\"result\":{{\"taken\":{count}}}}}\n"),
+            Mood::Limits => format!("{{\"id\":{id},\"error\":{{\"message\":\"limit\"}}}}\n"),
+            Mood::Garbles => "{\"id\":\u{1}\n".to_owned(),
+            Mood::SaysNothing => continue,
+            Mood::BreaksOff => return,
+        };
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps each watch open and writes an empty line now and then; counts the watches.
+fn discovery() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let watches: Arc<Mutex<Vec<String>>> = Arc::default();
+    let seen = watches.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let seen = seen.clone();
+            std::thread::spawn(move || {
+                let mut ask = String::new();
+                let _ = BufReader::new(&stream).read_line(&mut ask);
+                seen.lock().expect("alive").push(ask);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+                while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+                    std::thread::sleep(Duration::from_millis(300));
+                }
+            });
+        }
+    });
+    (address, watches)
+}
+
+/// A steward's process; ended when this is dropped.
+struct Steward {
+    child: Child,
+    file: PathBuf,
+    listen: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+fn file_text(listen: SocketAddr, relay: SocketAddr, discovery: SocketAddr) -> String {
+    let named = FILE.replacen("127.0.0.1:7070", &listen.to_string(), 1);
+    let named = named.replace("127.0.0.1:6400", &relay.to_string());
+    // Nobody listens where the hosts are said to be, so the module is told not to probe them.
+    named.replace("127.0.0.1:8500", &discovery.to_string()).replace("\"probes\": true", "\"probes\": false")
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound")
+}
+
+impl Steward {
+    fn start(name: &str, relay: SocketAddr, discovery: SocketAddr) -> Steward {
+        let listen = free_port();
+        let file = std::env::temp_dir().join(format!("railhub-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, file_text(listen, relay, discovery)).expect("writable");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_railhub"))
+            .args(["steward", "--platform"])
+            .env("NODE_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("built");
+        let log: Arc<Mutex<String>> = Arc::default();
+        let (errors, kept) = (child.stderr.take().expect("piped"), log.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+                let mut kept = kept.lock().expect("alive");
+                kept.push_str(&line);
+                kept.push('\n');
+            }
+        });
+        let steward = Steward { child, file, listen, log };
+        eventually("it answers", || steward.try_ping());
+        steward
+    }
+
+    fn try_ping(&self) -> bool {
+        TcpStream::connect(self.listen).is_ok_and(|mut stream| ping(&mut stream))
+    }
+
+    fn signal(&self, signal: i32) {
+        // SAFETY: the process is a child of ours that has not been waited for.
+        assert_eq!(unsafe { libc::kill(self.child.id() as i32, signal) }, 0);
+    }
+
+    fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a child")
+    }
+
+    fn says(&self, words: &str) -> bool {
+        self.log.lock().expect("alive").contains(words)
+    }
+}
+
+impl Drop for Steward {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+        if std::thread::panicking() {
+            eprintln!("{}", self.log.lock().expect("alive"));
+        }
+    }
+}
+
+fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn framed(body: &str) -> Vec<u8> {
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(body.as_bytes());
+    bytes
+}
+
+fn ping(stream: &mut TcpStream) -> bool {
+    let mut answer = [0; 16];
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let sent = stream.write_all(&framed(r#"{"t":"ping"}"#)).is_ok();
+    sent && stream.read_exact(&mut answer).is_ok() && answer[4..] == *br#"{"t":"pong"}"#
+}
+
+fn collector(steward: &Steward) -> TcpStream {
+    let mut stream = TcpStream::connect(steward.listen).expect("listens");
+    stream.write_all(&framed(r#"{"t":"collector","zone":"a"}"#)).expect("taken");
+    stream
+}
+
+/// Whether the steward ends the connection, with a word or without, within a span.
+fn is_sent_away(mut stream: TcpStream, within: Duration) -> bool {
+    let began = Instant::now();
+    stream.set_read_timeout(Some(within)).expect("a time");
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let timed_out = ended.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+    !timed_out && began.elapsed() <= within
+}
+
+#[test]
+fn calls_are_made_again_until_their_end_is_known_and_none_is_lost() {
+    let (relay, (discovery, watches)) = (Relay::start(), discovery());
+    relay.set(Mood::Limits);
+    let _steward = Steward::start("calls", relay.address, discovery);
+    // It answered a sign of life while the relay turns calls away.
+    eventually("a call is turned away", || relay.calls().len() > 1);
+    let wanted = |call: &String| call.split_once("orders").expect("a commit").1.to_owned();
+    let first = wanted(&relay.calls()[0]);
+    assert!(first.contains(r#"{"op":"share","table":3,"server":"s-2","weight":0.0001}"#), "{first}");
+    for mood in [Mood::SaysNothing, Mood::Garbles, Mood::BreaksOff, Mood::Takes] {
+        let before = relay.calls().len();
+        relay.set(mood);
+        eventually("the call comes again", || {
+            relay.calls().len() > before + usize::from(mood != Mood::Takes)
+        });
+        assert!(relay.calls()[before..].iter().all(|call| wanted(call) == first), "in order, unchanged");
+    }
+    eventually("the watch", || {
+        watches.lock().expect("alive")[0].contains("/discovery/hosts?watch=1&after=41 ")
+    });
+    let settled = relay.calls().len();
+    std::thread::sleep(Duration::from_millis(1500));
+    assert!(relay.calls().len() <= settled + 1, "once taken it is not said again");
+}
+
+#[test]
+fn a_new_file_moves_the_lines_a_bad_one_does_not_and_sigterm_ends_it_well() {
+    let (old, (discovery_a, watches_a)) = (Relay::start(), discovery());
+    let mut steward = Steward::start("moves", old.address, discovery_a);
+    eventually("subscribed and watching", || {
+        old.subscribed() == 1 && !watches_a.lock().expect("alive").is_empty()
+    });
+    std::fs::write(&steward.file, "{\"name\":").expect("writable");
+    steward.signal(libc::SIGHUP);
+    eventually("the bad file is told of", || steward.says("the old one holds"));
+    assert!(steward.try_ping() && steward.ended().is_none());
+    let new: Vec<_> = (0..2).map(|_| (Relay::start(), discovery())).collect();
+    for (relay, (discovery, watches)) in &new {
+        let text = file_text(steward.listen, relay.address, *discovery);
+        std::fs::write(&steward.file, text).expect("writable");
+        steward.signal(libc::SIGHUP);
+        eventually("moved", || relay.subscribed() == 1 && watches.lock().expect("alive").len() == 1);
+    }
+    let mut reports = collector(&steward);
+    assert!(ping(&mut reports), "connections of others stay");
+    assert_eq!((old.subscribed(), new[0].0.subscribed(), new[1].0.subscribed()), (1, 1, 1), "none doubled");
+    steward.signal(libc::SIGTERM);
+    eventually("it ends", || steward.ended().is_some());
+    assert_eq!(steward.ended().and_then(|status| status.code()), Some(0));
+}
+
+#[test]
+fn strangers_are_sent_away_and_a_spoilt_report_costs_itself_alone() {
+    let (relay, (discovery, _)) = (Relay::start(), discovery());
+    let steward = Steward::start("strangers", relay.address, discovery);
+    let mut good = collector(&steward);
+    let stranger = |bytes: &[u8]| {
+        let mut stream = TcpStream::connect(steward.listen).expect("listens");
+        stream.write_all(bytes).expect("taken");
+        stream
+    };
+    let three = Duration::from_secs(3);
+    let heard = r#"{"t":"heard","zone":"a","server":"s-1","tries":2,"failed":0,"mean_ms":4,"span_ms":1000}"#;
+    let sent: Vec<TcpStream> = [
+        b"GET / HTTP/1.1\r\nhost: x\r\n\r\n".to_vec(),
+        vec![0xff; 4096],
+        vec![0; 64],
+        framed("{\"t\":"),
+        framed(r#"{"t":"joined","proxy":3,"zone":"a"}"#),
+        framed(r#"{"t":"collector","zone":"nowhere"}"#),
+        framed(r#"{"op":"share","table":4,"server":"s-1","weight":1.5}"#),
+        framed(heard),
+        framed(r#"{"t":"ping"}"#),
+        vec![0, 0],
+        Vec::new(),
+    ]
+    .iter()
+    .map(|bytes| stranger(bytes))
+    .collect();
+    for (place, stream) in sent.into_iter().enumerate() {
+        assert!(is_sent_away(stream, three), "stranger {place}");
+    }
+    for spoilt in [heard.replace("\"tries\":2", "\"tries\":-2"), heard.replace("\"a\"", "9"), heard.into()] {
+        good.write_all(&framed(&spoilt)).expect("taken");
+    }
+    assert!(ping(&mut good), "its connection stays");
+    good.write_all(&framed("{{{{")).expect("taken");
+    assert!(is_sent_away(good, three), "a stream that can't be read is of no further use");
+    eventually("the log", || steward.says("cause=\"range\"") && steward.says("cause=\"fields\""));
+}
+
+#[test]
+fn a_crowd_that_says_nothing_keeps_no_collector_out() {
+    let (relay, (discovery, _)) = (Relay::start(), discovery());
+    let steward = Steward::start("crowd", relay.address, discovery);
+    let mut early = collector(&steward);
+    assert!(ping(&mut early));
+    // The file allows 256 descriptors, of which some are kept for other ends.
+    let crowd: Vec<TcpStream> =
+        (0..400).filter_map(|_| TcpStream::connect_timeout(&steward.listen, PATIENCE).ok()).collect();
+    let mut late = collector(&steward);
+    assert!(ping(&mut late) && ping(&mut early));
+    assert!(crowd.into_iter().all(|stream| is_sent_away(stream, Duration::from_secs(3))));
+    let open = std::fs::read_dir(format!("/proc/{}/fd", steward.child.id())).expect("a process").count();
+    assert!(open < 64, "{open} descriptors are left open");
+    assert!(ping(&mut late) && ping(&mut early));
+}
+
+#[test]
+fn a_bad_file_at_the_start_is_one_line_and_exit_2() {
+    let run = |text: &str| {
+        let file = std::env::temp_dir().join(format!("railhub-bad-{}.json", std::process::id()));
+        std::fs::write(&file, text).expect("writable");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_railhub"));
+        let output =
+            command.args(["steward", "--platform"]).env("NODE_CONFIG", &file).output().expect("built");
+        std::fs::remove_file(&file).expect("ours");
+        (output.status.code(), String::from_utf8(output.stderr).expect("text"))
+    };
+    let (code, said) = run(&FILE.replace("\"worth\": 2.0", "\"worth\": -2.0"));
+    assert_eq!(code, Some(2));
+    assert!(
+        said.trim_end().ends_with("settings.request_classes[1].worth: must be a number from 0 up"),
+        "{said}"
+    );
+    assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+    assert_eq!(run("").0, Some(2));
+}
--- a/crates/railhub-platform/src/collector.rs
+++ b/crates/railhub-platform/src/collector.rs
@@ -66,9 +66,17 @@
     serde_json::from_slice(body).map_err(|_| Spoilt::Fields)
 }
 
+/// JSON that lacks its kind is spoilt alone; what is no JSON spoils all that follows it.
+pub(crate) fn unreadable(fault: &serde_json::Error) -> Spoilt {
+    match fault.classify() {
+        serde_json::error::Category::Data => Spoilt::Fields,
+        _ => Spoilt::Unreadable,
+    }
+}
+
 /// `slices`: how many there are.
 pub fn read(body: &[u8], names: &Names, slices: u16) -> Result<Frame, Spoilt> {
-    let kind: Kind = serde_json::from_slice(body).map_err(|_| Spoilt::Unreadable)?;
+    let kind: Kind = serde_json::from_slice(body).map_err(|fault| unreadable(&fault))?;
     match kind.t.as_str() {
         "ping" => Ok(Frame::Ping),
         "collector" => {
--- a/crates/railhub-platform/src/discovery.rs
+++ b/crates/railhub-platform/src/discovery.rs
@@ -43,10 +43,7 @@
 }
 
 pub fn read(line: &[u8], names: &Names) -> Result<Page, Spoilt> {
-    let raw: RawPage = serde_json::from_slice(line).map_err(|fault| match fault.classify() {
-        serde_json::error::Category::Data => Spoilt::Fields,
-        _ => Spoilt::Unreadable,
-    })?;
+    let raw: RawPage = serde_json::from_slice(line).map_err(|fault| crate::collector::unreadable(&fault))?;
     Ok(raw.check(names))
 }
 
--- /dev/null
+++ b/crates/railhub-platform/tests/decoders.rs
@@ -0,0 +1,230 @@
+//! Each decoder on good input, on spoilt input that must be told apart, and on damaged bytes without end.
+use railhub::{ClassId, HostId, MarkId, Phase, ProxyId, Repeat, SliceId, ZoneId};
+use railhub_platform::collector::{self, Frame};
+use railhub_platform::news::{self, Answer, News};
+use railhub_platform::{discovery, Assignment, Names, Spoilt};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const FILE: &str = include_str!("assignment.json");
+
+fn names() -> Names {
+    Assignment::read(FILE).expect("a good file").names
+}
+
+fn frame(text: &str) -> Result<Frame, Spoilt> {
+    collector::read(text.as_bytes(), &names(), 40)
+}
+
+#[test]
+fn a_file_becomes_terms_and_the_first_list() {
+    let read = Assignment::read(FILE).expect("a good file");
+    assert_eq!((read.name.as_str(), read.sockets, read.memory_mb), ("n0", 256, 32));
+    assert_eq!(read.relay.to_string(), "127.0.0.1:6400");
+    assert_eq!((read.terms.slices, read.terms.warm_within, read.terms.may_probe), (40, 18.0, true));
+    assert_eq!(read.terms.classes[1].repeat, Repeat::Never);
+    let list = read.first_list();
+    assert!(list.whole && read.known.generation == 41);
+    assert_eq!(list.entries[0].host, HostId::new("s-1").expect("a name"));
+    assert_eq!((list.entries[0].started, list.entries[1].started), (None, Some(1_700_000_000.25)));
+}
+
+#[test]
+fn what_is_wrong_in_a_file_is_named_with_its_place() {
+    let fault = |from: &str, to: &str| {
+        assert!(FILE.contains(from), "{from}");
+        Assignment::read(&FILE.replace(from, to)).expect_err("wrong").to_string()
+    };
+    let place = fault("\"127.0.0.1:6400\"", "17");
+    assert!(place.starts_with("registry.address: "), "{place}");
+    let class = fault("\"effect\": \"once\"", "\"effect\": \"often\"");
+    assert_eq!(class, "settings.request_classes[1].effect: cannot be 'often'");
+    assert!(fault("\"backlog\": 900.5", "\"backlog\": -1").starts_with("settings.family_info.backlog: "));
+    assert!(fault("127.0.0.2:7070", "nowhere").starts_with("known.instances: 1 entries"));
+    assert!(Assignment::read(&FILE[..FILE.len() / 2]).is_err());
+}
+
+#[test]
+fn good_frames_become_sums() {
+    assert!(matches!(frame(r#"{"t":"ping"}"#), Ok(Frame::Ping)));
+    assert!(matches!(frame(r#"{"t":"collector","zone":"b"}"#), Ok(Frame::Collector(ZoneId(1)))));
+    let heard = r#"{"t":"heard","zone":"a","server":"s-1","tries":212,"failed":3,"mean_ms":41.5,
+        "span_ms":1000.0,"load":{"inflight":7,"util":0.61},"new":[[{}]]}"#;
+    let Ok(Frame::Tries(sum)) = frame(heard) else { panic!("a report") };
+    assert_eq!((sum.tries, sum.failed, sum.mean_time, sum.span), (212.0, 3.0, 0.0415, 1.0));
+    assert_eq!((sum.zone, sum.busy), (ZoneId(0), Some(0.61)));
+    // An operation may fail in a later span than the one it came in.
+    let heat = r#"{"t":"heat","slice":30,"class":"deposit","tries":0,"failed":1,"span_ms":500}"#;
+    let Ok(Frame::Demand(sum)) = frame(heat) else { panic!("a report") };
+    assert_eq!((sum.slice, sum.class, sum.operations, sum.span), (SliceId(30), ClassId(1), 0.0, 0.5));
+}
+
+#[test]
+fn spoilt_reports_are_told_from_streams_that_cannot_be_read() {
+    let heard = |field: &str, value: &str| {
+        let fields = [
+            ("zone", "\"a\""),
+            ("server", "\"s-1\""),
+            ("tries", "10"),
+            ("failed", "1"),
+            ("mean_ms", "9"),
+            ("span_ms", "1000"),
+        ];
+        let said = fields.map(|(name, usual)| {
+            let value = if name == field { value } else { usual };
+            format!("\"{name}\":{value}")
+        });
+        frame(&format!("{{\"t\":\"heard\",{}}}", said.join(","))).map(drop)
+    };
+    assert_eq!(heard("none", ""), Ok(()));
+    for (field, value, fault) in [
+        ("zone", "\"z\"", Spoilt::Unknown),
+        ("server", "\"\"", Spoilt::Unknown),
+        ("tries", "-1", Spoilt::Range),
+        ("tries", "\"10\"", Spoilt::Fields),
+        ("tries", "null", Spoilt::Fields),
+        ("failed", "11", Spoilt::Range),
+        ("mean_ms", "1e300", Spoilt::Range),
+        ("span_ms", "0", Spoilt::Range),
+        ("span_ms", "1e9", Spoilt::Range),
+        ("span_ms", "[]", Spoilt::Fields),
+    ] {
+        assert_eq!(heard(field, value), Err(fault), "{field} {value}");
+    }
+    let fault = |text: &str| frame(text).map(drop).expect_err("spoilt");
+    assert_eq!(fault(r#"{"zone":"a"}"#), Spoilt::Fields);
+    assert_eq!(fault(r#"{"t":7}"#), Spoilt::Fields);
+    assert_eq!(fault(r#"{"t":"joined","proxy":1}"#), Spoilt::Kind);
+    assert_eq!(fault(r#"{"t":"collector","zone":"x"}"#), Spoilt::Unknown);
+    assert_eq!(
+        fault(r#"{"t":"heat","slice":40,"class":"deposit","tries":1,"failed":0,"span_ms":1}"#),
+        Spoilt::Unknown
+    );
+    assert_eq!(fault(r#"{"t":"heard","zone":"#), Spoilt::Unreadable);
+    assert_eq!(fault("GET / HTTP/1.1"), Spoilt::Unreadable);
+    let deep = format!("{{\"t\":\"ping\",\"x\":{}", "[".repeat(900_000));
+    assert_eq!(fault(&deep), Spoilt::Unreadable);
+}
+
+#[test]
+fn the_relays_lines_are_read() {
+    let read = |text: &str| news::read(text.as_bytes());
+    let said = |method: &str, params: &str| {
+        read(&format!("{{\"jsonrpc\":\"2.0\",\"method\":\"{method}\",\"params\":{params}}}"))
+    };
+    assert_eq!(read(r#"{"jsonrpc":"2.0","id":10,"result":true}"#), Ok(News::Subscribed));
+    assert_eq!(read(r#"{"jsonrpc":"2.0","method":"ping"}"#), Ok(News::Ping));
+    let joined = said("joined", r#"{"proxy":17,"zone":"a","weight":21.5,"fresh":true}"#);
+    assert_eq!(joined, Ok(News::Joined { proxy: ProxyId(17), first: true }));
+    let Ok(News::Applied(applied)) = said("applied", r#"{"proxy":17,"mark":905,"took_ms":310.4}"#) else {
+        panic!("an answer to a mark")
+    };
+    assert_eq!((applied.proxy, applied.mark), (ProxyId(17), MarkId(905)));
+    let held = said("held", r#"{"slice":88,"server":"s-1","weight":1.0}"#);
+    assert_eq!(
+        held,
+        Ok(News::Held { slice: SliceId(88), host: HostId::new("s-1").expect("a name"), weight: 1.0 })
+    );
+    assert_eq!(said("held", r#"{"slice":88,"server":"s-1","weight":-1.0}"#), Err(Spoilt::Range));
+    assert_eq!(said("given", r#"{"slice":70000,"on":true}"#), Err(Spoilt::Fields));
+    assert_eq!(said("heard", "{}"), Err(Spoilt::Kind));
+}
+
+#[test]
+fn only_the_answer_to_this_very_call_settles_it() {
+    let answer = |text: &str| news::answer(text.as_bytes(), 8, 2);
+    assert_eq!(answer(r#"{"jsonrpc":"2.0","id":8,"result":{"taken":2}}"#), Ok(Answer::Taken(2)));
+    assert_eq!(answer(r#"{"id":8,"error":{"code":1,"message":"limit"}}"#), Ok(Answer::TurnedAway));
+    assert_eq!(answer(r#"{"id":8,"error":{"message":"malformed"}}"#), Ok(Answer::Malformed));
+    for spoilt in [
+        r#"{"id":9,"result":{"taken":2}}"#,
+        r#"{"id":8,"result":{"taken":3}}"#,
+        r#"{"id":8,"result":{"taken":-1}}"#,
+        r#"{"id":8,"result":{"taken":"2"}}"#,
+        r#"{"id":8,"result":{}}"#,
+        r#"{"id":8}"#,
+        r#"{"id":8,"error":{"message":"what"}}"#,
+        r#"{"id":8,"result":{"taken":2}"#,
+    ] {
+        assert!(answer(spoilt).is_err(), "{spoilt}");
+    }
+}
+
+#[test]
+fn a_whole_list_that_lacks_a_spoilt_entry_makes_nobody_gone() {
+    let page = r#"{"generation":43,"reset":true,"instances":[
+        {"instanceId":"s-1","hostPort":"127.0.0.1:7070","lifecycle":"draining","weight":1.0},
+        {"instanceId":"s-2","hostPort":"127.0.0.2:7070","lifecycle":"ready","weight":"heavy"}]}"#;
+    let read = |text: &str| discovery::read(text.as_bytes(), &names());
+    assert_eq!(read(page).map(drop), Err(Spoilt::Fields));
+    let page = read(&page.replace("\"heavy\"", "-1")).expect("a page");
+    assert_eq!((page.whole, page.entries.len(), page.spoilt.as_slice()), (false, 1, &[Spoilt::Range][..]));
+    assert_eq!(page.entries[0].listed.phase, Phase::Draining);
+    assert_eq!(read("{\"generation\":43,").map(drop), Err(Spoilt::Unreadable));
+}
+
+/// Bytes changed, cut, doubled and put in at random places.
+fn damage(good: &[u8], random: &mut ChaCha8Rng) -> Vec<u8> {
+    let mut bytes = good.to_vec();
+    for _ in 0..random.random_range(1..6) {
+        let at = random.random_range(0..bytes.len().max(1));
+        match random.random_range(0..4) {
+            0 if at < bytes.len() => bytes[at] = random.random(),
+            1 => bytes.truncate(at),
+            2 => bytes.insert(at.min(bytes.len()), b"{}[]\",:0-e.\\\n"[random.random_range(0..13)]),
+            _ => {
+                let tail: Vec<u8> = bytes.iter().skip(at).take(40).copied().collect();
+                bytes.extend(tail);
+            }
+        }
+    }
+    bytes
+}
+
+/// A decoder may refuse what it likes but must neither panic nor let through what the module can't take.
+fn feed(good: &str, seed: u64, mut read: impl FnMut(&[u8]) -> bool) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let taken = (0..100_000).filter(|_| read(&damage(good.as_bytes(), &mut random))).count();
+    assert!((1..100_000).contains(&taken), "{taken} of the damaged ones still read: the damage is of no use");
+    assert!(read(good.as_bytes()));
+}
+
+#[test]
+fn damaged_bytes_never_pass_for_what_cannot_be() {
+    let names = names();
+    let sane = |figure: f64| figure.is_finite() && figure >= 0.0;
+    let heard =
+        r#"{"t":"heard","zone":"a","server":"s-1","tries":12,"failed":3,"mean_ms":4.5,"span_ms":1000.0}"#;
+    feed(heard, 1, |bytes| match collector::read(bytes, &names, 40) {
+        Ok(Frame::Tries(sum)) => {
+            assert!(sane(sum.tries) && sum.failed <= sum.tries && sane(sum.mean_time) && sum.span > 0.0);
+            true
+        }
+        read => read.is_ok(),
+    });
+    let heat = r#"{"t":"heat","slice":8,"class":"deposit","tries":40,"failed":1,"span_ms":1000.0}"#;
+    feed(heat, 2, |bytes| match collector::read(bytes, &names, 40) {
+        Ok(Frame::Demand(sum)) => {
+            assert!(sum.slice.0 < 40 && sum.class.0 < 2 && sane(sum.operations) && sum.span > 0.0);
+            true
+        }
+        read => read.is_ok(),
+    });
+    let held = r#"{"jsonrpc":"2.0","method":"held","params":{"slice":88,"server":"s-1","weight":1.0}}"#;
+    feed(held, 3, |bytes| match news::read(bytes) {
+        Ok(News::Held { weight, .. }) => sane(weight),
+        read => read.is_ok(),
+    });
+    let answer = r#"{"jsonrpc":"2.0","id":8,"result":{"taken":2}}"#;
+    feed(answer, 4, |bytes| match news::answer(bytes, 8, 2) {
+        Ok(Answer::Taken(taken)) => taken <= 2,
+        read => read.is_ok(),
+    });
+    let page = r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:7070",
+        "lifecycle":"draining","weight":1.0,"startedAtMs":5}]}"#;
+    feed(page, 5, |bytes| {
+        discovery::read(bytes, &names)
+            .is_ok_and(|page| page.entries.iter().all(|entry| sane(entry.listed.weight)))
+    });
+    feed(FILE, 6, |bytes| std::str::from_utf8(bytes).is_ok_and(|text| Assignment::read(text).is_ok()));
+}
--- /dev/null
+++ b/crates/railhub-platform/tests/desk.rs
@@ -0,0 +1,176 @@
+//! The desk with the real module: what the relay tells, what is ordered, and how calls end.
+use railhub::{HostId, ProxyId, SliceId};
+use railhub_platform::news::{Answer, News};
+use railhub_platform::orders::{Call, Order, Waiting};
+use railhub_platform::{Assignment, Desk};
+
+const FILE: &str = include_str!("assignment.json");
+const START: f64 = 1_700_000_100.0;
+
+fn assignment() -> Assignment {
+    // Without probes the module trusts the list, so that a few rounds are enough.
+    Assignment::read(&FILE.replace("\"probes\": true", "\"probes\": false")).expect("a good file")
+}
+
+fn host(n: u8) -> HostId {
+    HostId::new(&format!("s-{n}")).expect("a name")
+}
+
+fn given(slice: u16) -> News {
+    News::Given { slice: SliceId(slice), on: true }
+}
+
+fn held(slice: u16, n: u8) -> News {
+    News::Held { slice: SliceId(slice), host: host(n), weight: 1.0 }
+}
+
+fn joined(proxy: u16) -> News {
+    News::Joined { proxy: ProxyId(proxy), first: false }
+}
+
+/// What stands, told by a fresh subscription.
+fn stands(desk: &mut Desk, now: f64, news: &[News]) {
+    desk.hear_news(now, News::Subscribed);
+    news.iter().for_each(|news| desk.hear_news(now, *news));
+    desk.hear_news(now, News::Ping);
+}
+
+fn text(call: &Call) -> &str {
+    std::str::from_utf8(&call.bytes).expect("text")
+}
+
+/// Acts and takes all calls, answered in full; their text.
+fn settle(desk: &mut Desk, now: f64) -> String {
+    desk.act(now);
+    let mut said = String::new();
+    while let Some(call) = desk.next_call() {
+        said.push_str(text(&call));
+        assert!(desk.end_call(Some(Answer::Taken(call.count))).is_none());
+    }
+    said
+}
+
+#[test]
+fn nothing_is_ordered_before_the_relay_has_told_what_stands() {
+    let mut desk = Desk::new(&assignment());
+    assert_eq!(settle(&mut desk, START), "");
+    desk.hear_news(START, News::Subscribed);
+    desk.hear_news(START, given(3));
+    assert_eq!(settle(&mut desk, START + 0.01), "", "the table is not told whole");
+    desk.hear_news(START + 0.02, held(3, 1));
+    assert!(desk.next_due().is_some_and(|due| due < START + 0.2));
+    let said = settle(&mut desk, START + 0.2);
+    assert!(desk.is_informed());
+    // It keeps the owner that the store names and adds a standby; it never empties the table.
+    assert!(said.contains(r#"{"op":"share","table":3,"server":"s-2","weight":0.0001}"#), "{said}");
+    assert!(!said.contains("\"weight\":0.0}"), "{said}");
+}
+
+#[test]
+fn what_stands_replaces_what_was_believed() {
+    let mut desk = Desk::new(&assignment());
+    let first = [joined(1), joined(2), given(3), held(3, 1), given(4), held(4, 1)];
+    stands(&mut desk, START, &first);
+    settle(&mut desk, START);
+    assert_eq!(desk.joined(), 2);
+    // Proxy 2 and slice 4 are absent now; slice 3 is as it was ordered: nothing to say.
+    let standby = News::Held { slice: SliceId(3), host: host(2), weight: 0.0001 };
+    stands(&mut desk, START + 0.1, &[joined(1), given(3), held(3, 1), standby]);
+    // (Who is shut out is said again to a proxy that may have missed it.)
+    assert!(!settle(&mut desk, START + 0.1).contains("share"));
+    assert_eq!(desk.joined(), 1);
+    // The store lost the standby: it is ordered again, and slice 4 is no more.
+    stands(&mut desk, START + 0.2, &[joined(1), given(3), held(3, 1)]);
+    let said = settle(&mut desk, START + 0.2);
+    assert!(said.contains(r#""table":3,"server":"s-2""#) && !said.contains("\"table\":4"), "{said}");
+}
+
+#[test]
+fn a_line_that_waits_counts_as_held_when_the_relay_tells_what_stands() {
+    let mut desk = Desk::new(&assignment());
+    stands(&mut desk, START, &[joined(1), given(3), held(3, 1)]);
+    desk.act(START);
+    let call = desk.next_call().expect("a standby is ordered");
+    // The news breaks while the call is out; its line is not in what stands.
+    stands(&mut desk, START + 0.1, &[joined(1), given(3), held(3, 1)]);
+    desk.act(START + 0.1);
+    assert!(desk.next_call().is_none(), "one call at a time");
+    assert!(desk.end_call(None).is_none());
+    let again = desk.next_call().expect("an unknown end is settled first");
+    let orders = |call: &Call| text(call).split_once("orders").expect("a commit").1.to_owned();
+    assert_eq!(orders(&again), orders(&call));
+    assert!(again.id > call.id, "an answer to the first must not pass for this one's");
+    desk.end_call(Some(Answer::Taken(again.count)));
+    assert!(desk.next_call().is_none(), "it was no difference, so nothing follows");
+}
+
+#[test]
+fn lines_that_follow_a_slice_given_later_are_not_missed() {
+    let mut desk = Desk::new(&assignment());
+    stands(&mut desk, START, &[joined(1)]);
+    settle(&mut desk, START);
+    desk.hear_news(START + 0.5, given(7));
+    assert_eq!(settle(&mut desk, START + 0.505), "", "its lines may be on their way");
+    desk.hear_news(START + 0.51, held(7, 2));
+    let said = settle(&mut desk, START + 0.55);
+    assert!(said.contains(r#""table":7,"server":"s-1","weight":0.0001"#), "{said}");
+    desk.hear_news(START + 1.2, News::Given { slice: SliceId(7), on: false });
+    assert_eq!(settle(&mut desk, START + 1.25), "");
+}
+
+fn push_lines(waiting: &mut Waiting, count: u16) {
+    (0..count).for_each(|slice| waiting.push(Order::Line(SliceId(slice), host(1), 1.0)));
+}
+
+#[test]
+fn calls_stay_below_the_relays_limit_and_lose_nothing() {
+    let mut waiting = Waiting::default();
+    push_lines(&mut waiting, 5000);
+    let (mut calls, mut orders) = (0, 0);
+    while let Some(call) = waiting.call(&[]) {
+        assert!(call.bytes.len() < 60_000 && call.bytes.ends_with(b"]}}\n"));
+        assert_eq!(text(&call).matches("\"op\"").count(), call.count);
+        (calls, orders) = (calls + 1, orders + call.count);
+        assert!(waiting.taken(call.count).is_none());
+    }
+    assert_eq!((calls > 3, orders), (true, 5000));
+}
+
+#[test]
+fn an_order_that_is_not_taken_is_dropped_alone() {
+    let mut waiting = Waiting::default();
+    push_lines(&mut waiting, 5);
+    assert_eq!(waiting.call(&[]).expect("a call").count, 5);
+    push_lines(&mut waiting, 6);
+    assert_eq!(waiting.taken(2), Some(Order::Line(SliceId(2), host(1), 1.0)));
+    let rest = waiting.call(&[]).expect("the rest of it first");
+    assert_eq!(rest.count, 2);
+    assert!(text(&rest).contains("\"table\":3") && text(&rest).contains("\"table\":4"));
+    assert!(waiting.taken(2).is_none());
+    assert_eq!(waiting.call(&[]).expect("what came meanwhile").count, 6);
+}
+
+#[test]
+fn orders_that_wait_fold_by_what_they_are_about_and_are_bounded() {
+    let mut waiting = Waiting::default();
+    waiting.push(Order::Line(SliceId(1), host(1), 0.0));
+    waiting.push(Order::Line(SliceId(1), host(2), 1.0));
+    waiting.push(Order::Shut(host(2), true));
+    waiting.push(Order::Line(SliceId(1), host(1), 1.0));
+    waiting.push(Order::Shut(host(2), false));
+    let call = waiting.call(&[]).expect("a call");
+    assert_eq!((call.count, waiting.folded), (3, 2));
+    let said = text(&call);
+    assert!(
+        said.find("\"s-2\",\"weight\":1.0").expect("kept")
+            < said.find("\"s-1\",\"weight\":1.0").expect("last")
+    );
+    assert!(said.contains("restore") && !said.contains("withdraw"));
+    assert_eq!(waiting.settled(SliceId(1), &[(host(3), 0.5)]).len(), 3);
+    waiting.taken(3);
+    for slice in 0..u16::MAX {
+        waiting.push(Order::Line(SliceId(slice), host(1), 1.0));
+        assert!(waiting.len() <= 20_000);
+    }
+    assert!(waiting.overflowed, "what was dropped must be asked for anew");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,8 @@
 const UNREACHED_PROBES: u32 = 2;
 /// Seconds without a completed operation, while sums show failed ones, that go with silent probes.
 const SILENT_SUMS: Seconds = 2.0;
+/// Seconds after which a host that is gone is forgotten: its speed is a rumour by then, and it may come back anew.
+const FORGET_AFTER: Seconds = 20.0;
 /// Share of the listed hosts that ever served that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
 /// Utilisation of all hosts together at which levels begin to fall.
@@ -165,6 +167,7 @@
     unreached: bool,
     down: bool,
     dropped: bool,
+    gone_at: Seconds,
     lag_turns: u32,
 }
 
@@ -175,8 +178,9 @@
     }
 
     /// The list no longer has it.
-    fn drop_out(&mut self, may_stay: bool) {
+    fn drop_out(&mut self, now: Seconds, may_stay: bool) {
         self.dropped = may_stay && self.usable();
+        self.gone_at = if self.phase == Phase::Gone { self.gone_at } else { now };
         self.phase = if self.dropped { Phase::Ready } else { Phase::Gone };
     }
 
@@ -184,6 +188,10 @@
         self.phase == Phase::Ready && !self.down
     }
 
+    fn is_long_gone(&self, now: Seconds) -> bool {
+        self.phase == Phase::Gone && now - self.gone_at > FORGET_AFTER
+    }
+
     /// The least it can do now, as a share of what it can do warm; its square root is likely.
     fn warmth(&self, now: Seconds, terms: &Terms) -> f64 {
         let Some(since) = self.cold_since else { return 1.0 };
@@ -317,7 +325,7 @@
     pub fn round(&mut self, round: &Round, orders: &mut impl Orders) {
         let now = round.now;
         let turn = !std::mem::replace(&mut self.started, true) || !round.timers.is_empty();
-        round.lists.iter().for_each(|list| self.hear_list(list, orders));
+        round.lists.iter().for_each(|list| self.hear_list(now, list, orders));
         round.charges.iter().for_each(|charge| self.take_charge(now, charge));
         round.tries.iter().for_each(|sum| self.hear_tries(now, sum));
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
@@ -355,20 +363,21 @@
                 let open = self.hosts.iter().filter(|(_, host)| host.phase == Phase::Ready);
                 open.for_each(|(id, _)| orders.probe(*id));
             }
+            self.forget(now);
             orders.wake(EPOCH, TimerId(0));
         }
     }
 
     /// Guards against a list that lies. A host it drops keeps its slices while it answers, unless it drained;
     /// one it adds or brings back gets none before it has answered a probe.
-    fn hear_list(&mut self, list: &HostList, orders: &mut impl Orders) {
+    fn hear_list(&mut self, now: Seconds, list: &HostList, orders: &mut impl Orders) {
         let kept: BTreeSet<HostId> = list.entries.iter().map(|entry| entry.host).collect();
         let lacked = self.hosts.iter_mut().filter(|(id, _)| list.whole && !kept.contains(id));
-        lacked.for_each(|(_, host)| host.drop_out(self.terms.dropped_may_stay));
+        lacked.for_each(|(_, host)| host.drop_out(now, self.terms.dropped_may_stay));
         for entry in &list.entries {
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host::new(entry));
             if entry.phase == Phase::Gone {
-                host.drop_out(self.terms.dropped_may_stay);
+                host.drop_out(now, self.terms.dropped_may_stay);
                 continue;
             }
             let trusted = host.usable() && host.last_good > 0.0;
@@ -384,6 +393,22 @@
         }
     }
 
+    /// Guards memory where new hosts replace old ones all day. A host that is shut out is let in again first, as
+    /// proxies may meet its id anew; no table names it by then.
+    fn forget(&mut self, now: Seconds) {
+        let gone = self.hosts.iter().filter(|(_, host)| host.is_long_gone(now));
+        let lost: Vec<HostId> = gone.map(|(id, _)| *id).collect();
+        for id in lost {
+            let named = |s: &Slice| s.owner == Some(id) || s.written.iter().any(|line| line.0 == id);
+            let shut = self.shut.get(&id).is_some_and(|out| *out != Some(false));
+            if !shut && self.withdrawn != Some(id) && !self.slices.values().any(named) {
+                self.hosts.remove(&id);
+                self.shut.remove(&id);
+                self.slices.values_mut().for_each(|s| s.home = s.home.filter(|home| *home != id));
+            }
+        }
+    }
+
     /// A host that the store names has served: it needs no probe to be trusted.
     fn take_charge(&mut self, now: Seconds, charge: &Charge) {
         self.slices.remove(&charge.slice);
@@ -455,7 +480,8 @@
             return false;
         }
         host.down = true;
-        host.phase = if host.dropped { Phase::Gone } else { host.phase };
+        (host.phase, host.gone_at) =
+            if host.dropped { (Phase::Gone, now) } else { (host.phase, host.gone_at) };
         orders.note(&format!("host {} is down: probes fail", probe.host));
         true
     }
@@ -707,10 +733,17 @@
 
     /// Hosts to shut out of all tables at once, one line a proxy, and those to open again: standbys serve
     /// until the tables are rewritten. Guards a great loss against the channel, and drains against the grace.
-    fn shut_out(&self) -> Vec<(HostId, bool)> {
+    fn shut_out(&self, now: Seconds) -> Vec<(HostId, bool)> {
         let kept: BTreeSet<HostId> = self.slices.values().filter_map(|slice| slice.owner).collect();
-        let out = |host: &HostId| !self.is_usable(*host) && !kept.contains(host) && !self.terms.single_owner;
-        let named = self.slices.values().flat_map(|slice| slice.written.iter().map(|line| line.0));
+        let named: BTreeSet<HostId> =
+            self.slices.values().flat_map(|slice| slice.written.iter().map(|line| line.0)).collect();
+        let lost = |host: &HostId| {
+            self.hosts.get(host).is_none_or(|host| host.is_long_gone(now)) && !named.contains(host)
+        };
+        let out = |host: &HostId| {
+            !self.is_usable(*host) && !kept.contains(host) && !self.terms.single_owner && !lost(host)
+        };
+        let named = named.iter().copied();
         let back = self.shut.keys().copied().filter(|host| !out(host));
         let all: BTreeSet<HostId> = back.chain(named.filter(out)).collect();
         let differs = |host: &HostId| self.shut.get(host) != Some(&Some(out(host)));
@@ -725,7 +758,7 @@
             .filter(|((_, wanted), id)| *wanted != self.slices[id].written)
             .collect();
         due.sort_by_key(|((haste, _), id)| (*haste, *id));
-        let shut = self.shut_out();
+        let shut = self.shut_out(now);
         let urgent =
             shut.iter().any(|(_, out)| *out) || due.first().is_some_and(|((haste, _), _)| *haste == 0);
         self.sent.retain(|at| *at >= now - self.terms.messages_span);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -513,7 +513,7 @@
     assert_eq!(written.shut, [(host(2), true), (host(2), true)]);
     steward.slices.values_mut().for_each(|slice| slice.written = vec![(host(1), 1.0)]);
     steward.shut.insert(host(2), None);
-    assert!(steward.shut_out().is_empty());
+    assert!(steward.shut_out(110.0).is_empty());
 }
 
 #[test]
@@ -525,3 +525,28 @@
     steward.round(&news(101.0, vec![listed(2, Phase::Draining, None)]), &mut Written::default());
     assert!(spares.iter().all(|(id, spare)| spare.is_some() && steward.slices[id].owner == *spare));
 }
+
+#[test]
+fn hosts_that_are_gone_for_long_are_forgotten_and_shut_out_no_more() {
+    let mut steward = steward(terms());
+    steward.terms.dropped_may_stay = false;
+    let mut written = Written::default();
+    // A new host takes the first one's place every ten seconds, under an id of its own.
+    for n in 1..=60 {
+        let now = 100.0 + 10.0 * f64::from(n);
+        let entries = vec![listed(n, Phase::Gone, None), listed(n + 4, Phase::Ready, Some(now))];
+        steward.round(&news(now, entries), &mut written);
+        let end = ProbeEnd::Answered;
+        let answer = ProbeResult { host: host(n + 4), end };
+        steward.round(&Round { now: now + 0.1, probes: vec![answer], ..Round::default() }, &mut written);
+        (1..10).for_each(|second| steward.round(&turn(now + f64::from(second)), &mut written));
+        assert!(steward.hosts.len() <= 8 && steward.shut.len() <= 8, "{}", steward.hosts.len());
+    }
+    assert!(written.shut.contains(&(host(1), true)), "a host that is gone is shut out at once");
+    let last = written.shut.iter().rev().find(|(id, _)| *id == host(1));
+    assert_eq!(last, Some(&(host(1), false)), "its id may come back");
+    assert!(steward
+        .slices
+        .values()
+        .all(|slice| slice.owner.is_some_and(|id| steward.hosts.contains_key(&id))));
+}
