--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -80,8 +80,14 @@
             }
             while let Some(sum) = self.shared.inbox.next_report() {
                 match sum {
-                    Sum::Tries(sum) => self.desk.hear_tries(sum),
-                    Sum::Demand(sum) => self.desk.hear_demand(sum),
+                    Sum::Tries(sum) => {
+                        tracing::debug!(?sum, "tries");
+                        self.desk.hear_tries(sum);
+                    }
+                    Sum::Demand(sum) => {
+                        tracing::trace!(?sum, "demand");
+                        self.desk.hear_demand(sum);
+                    }
                 }
             }
             self.act();
@@ -115,7 +121,10 @@
                     self.desk.hear_news(now(), news);
                 }
             }
-            Word::Probe(result) => self.desk.hear_probe(result),
+            Word::Probe(result) => {
+                tracing::debug!(?result, "probe");
+                self.desk.hear_probe(result);
+            }
             Word::CallEnded(answer) => self.end_call(answer),
         }
     }
