--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,7 +67,7 @@
 const UNREACHED_PROBES: u32 = 2;
 /// Seconds without a completed operation, while sums show failed ones, that go with silent probes.
 const SILENT_SUMS: Seconds = 2.0;
-/// Seconds after which a host that is gone is forgotten: its speed is a rumour by then, and it may come back anew.
+/// Seconds after which a host that is gone is forgotten: its speed is a rumour by then.
 const FORGET_AFTER: Seconds = 20.0;
 /// Share of the listed hosts that ever served that may be judged down: if most fail, the fault is elsewhere.
 const MOST_DOWN: f64 = 0.5;
@@ -393,8 +393,8 @@
         }
     }
 
-    /// Guards memory where new hosts replace old ones all day. A host that is shut out is let in again first, as
-    /// proxies may meet its id anew; no table names it by then.
+    /// Guards memory where new hosts replace old ones all day. A host that is shut out is let in again first,
+    /// as proxies may meet its id anew; no table names it by then.
     fn forget(&mut self, now: Seconds) {
         let gone = self.hosts.iter().filter(|(_, host)| host.is_long_gone(now));
         let lost: Vec<HostId> = gone.map(|(id, _)| *id).collect();
