Read once more: waits, queues and deadlines that could hang, grow or end another's socket

Seen by reading; each with a test or the test that covers it: - A write to a peer that stops reading had no time-out (deadline.rs shut reading only): calls, asks and dials end both ways. - listener.rs: the stream was dropped before its guard, so that a deadline could have ended another socket of the same number; each stranger left an entry in the timer heap for 20 s. One deadline a connection now, 1 s until it has joined. - desk.rs: that a proxy left just before a new subscription was forgotten; lists gathered without bound while the relay was away (folded into one); a line could join an older word on its slice. - The pool of probers stood twice (railhub-steward, railhub-platform-net): railhub-net's Pool serves both. - Not used: connect_within, Waiting::is_empty, a count of probes that nobody read. Now in the log: probes dropped, orders folded, and the time from a report to the answer of the next call. Tests new: news that falls silent, a watch that is torn and one that is silent, a panic in a coroutine (exit 101), a writer whose peer never reads.

--- a/crates/railhub-cli/tests/platform.rs
+++ b/crates/railhub-cli/tests/platform.rs
@@ -17,6 +17,8 @@
     SaysNothing,
     Garbles,
     BreaksOff,
+    /// The news stays open and says nothing more.
+    Mute,
 }
 
 struct Relay {
@@ -82,7 +84,7 @@
                 stream.write_all(piece).expect("read");
             }
             let ping = b"{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
-            while stream.write_all(ping).is_ok() {
+            while *mood.lock().expect("alive") == Mood::Mute || stream.write_all(ping).is_ok() {
                 std::thread::sleep(Duration::from_millis(300));
             }
             return;
@@ -90,7 +92,7 @@
         let count = line.matches("\"op\"").count();
         calls.lock().expect("alive").push(line);
         let answer = match *mood.lock().expect("alive") {
-            Mood::Takes => format!("{{\"id\":{id},\"result\":{{\"taken\":{count}}}}}\n"),
+            Mood::Takes | Mood::Mute => format!("{{\"id\":{id},\"result\":{{\"taken\":{count}}}}}\n"),
             Mood::Limits => format!("{{\"id\":{id},\"error\":{{\"message\":\"limit\"}}}}\n"),
             Mood::Garbles => "{\"id\":\u{1}\n".to_owned(),
             Mood::SaysNothing => continue,
@@ -102,23 +104,33 @@
     }
 }
 
-/// Keeps each watch open and writes an empty line now and then; counts the watches.
-fn discovery() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+type Watches = Arc<Mutex<Vec<String>>>;
+
+/// Keeps each watch open and writes an empty line now and then; keeps what each asked for.
+fn discovery() -> (SocketAddr, Watches) {
+    discovery_that(|mut stream, _| {
+        while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    })
+}
+
+/// Answers each watch, by its place, with the head of a stream and then as told.
+fn discovery_that(talks: impl Fn(TcpStream, usize) + Send + Sync + 'static) -> (SocketAddr, Watches) {
+    let talks = Arc::new(talks);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
-    let watches: Arc<Mutex<Vec<String>>> = Arc::default();
+    let watches = Watches::default();
     let seen = watches.clone();
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let seen = seen.clone();
+            let (seen, talks) = (seen.clone(), talks.clone());
             std::thread::spawn(move || {
                 let mut ask = String::new();
                 let _ = BufReader::new(&stream).read_line(&mut ask);
-                seen.lock().expect("alive").push(ask);
+                let place = seen.lock().map(|mut seen| (seen.push(ask), seen.len() - 1).1).expect("alive");
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
-                while stream.write_all(b"1\r\n\n\r\n").is_ok() {
-                    std::thread::sleep(Duration::from_millis(300));
-                }
+                talks(stream, place);
             });
         }
     });
@@ -287,6 +299,37 @@
     assert_eq!(steward.ended().and_then(|status| status.code()), Some(0));
 }
 
+#[test]
+fn news_that_falls_silent_is_subscribed_to_anew() {
+    let (relay, (discovery, _)) = (Relay::start(), discovery());
+    let steward = Steward::start("silent-news", relay.address, discovery);
+    eventually("subscribed", || relay.subscribed() == 1);
+    relay.set(Mood::Mute);
+    eventually("it dials again", || relay.subscribed() == 2);
+    assert!(steward.says("silent for too long"));
+}
+
+#[test]
+fn a_watch_that_is_torn_or_silent_is_resumed_where_it_was() {
+    let page = r#"{"generation":50,"reset":false,"instances":[]}"#;
+    let (discovery, watches) = discovery_that(move |mut stream, place| match place {
+        0 => {
+            let torn = format!("{:x}\r\n{page}\n\r\nff\r\n{{\"generation\":51", page.len() + 1);
+            stream.write_all(torn.as_bytes()).expect("read");
+        }
+        // Open and silent for longer than anyone waits.
+        _ => std::thread::sleep(2 * PATIENCE),
+    });
+    let steward = Steward::start("torn-watch", Relay::start().address, discovery);
+    eventually("the third watch", || watches.lock().expect("alive").len() == 3);
+    let asked = watches.lock().expect("alive").clone();
+    assert!(
+        asked[0].contains("after=41 ") && asked[1..].iter().all(|ask| ask.contains("after=50 ")),
+        "{asked:?}"
+    );
+    assert!(steward.says("generation=50") && !steward.says("generation=51"));
+}
+
 #[test]
 fn strangers_are_sent_away_and_a_spoilt_report_costs_itself_alone() {
     let (relay, (discovery, _)) = (Relay::start(), discovery());
--- a/crates/railhub-net/src/deadline.rs
+++ b/crates/railhub-net/src/deadline.rs
@@ -71,6 +71,8 @@
     /// Bits of the moment it was last heard.
     heard: AtomicU64,
     span: f64,
+    /// Which ways end: reading alone where a reason is still to be written.
+    how: libc::c_int,
     fired: AtomicBool,
 }
 
@@ -79,10 +81,20 @@
 
 impl Guard {
     pub fn new(socket: &TcpStream, span: f64) -> Guard {
+        Guard::ending(socket, span, libc::SHUT_RD)
+    }
+
+    /// Ends writing too: a peer that stops reading must not hold the one that writes to it.
+    pub fn both_ways(socket: &TcpStream, span: f64) -> Guard {
+        Guard::ending(socket, span, libc::SHUT_RDWR)
+    }
+
+    fn ending(socket: &TcpStream, span: f64, how: libc::c_int) -> Guard {
         let watched = Watched {
             socket: Mutex::new(Some(socket.inner().as_raw_fd())),
             heard: AtomicU64::new(now().to_bits()),
             span,
+            how,
             fired: AtomicBool::new(false),
         };
         let watched = Arc::new(watched);
@@ -136,7 +148,7 @@
         }
         watched.fired.store(true, Ordering::Release);
         // SAFETY: the guard ends, and takes the descriptor away under this lock, before the socket is closed.
-        unsafe { libc::shutdown(descriptor, libc::SHUT_RD) };
+        unsafe { libc::shutdown(descriptor, watched.how) };
     });
 }
 
@@ -144,6 +156,22 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_peer_that_never_reads_does_not_hold_a_writer() {
+        use std::io::Write;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (sender, receiver) = channel();
+        crate::go(move || {
+            let mut stream = crate::dial(address, 1.0).expect("it listens");
+            let guard = Guard::both_ways(&stream, 0.1);
+            let ended = std::iter::repeat_with(|| stream.write_all(&[0; 1 << 16])).find_map(Result::err);
+            sender.send((ended.is_some(), guard.fired())).expect("still read");
+        });
+        let ended = receiver.recv_timeout(seconds(10.0));
+        assert_eq!(ended, Ok((true, true)));
+    }
+
     #[test]
     fn things_happen_in_the_order_of_their_times() {
         let (sender, receiver) = channel();
--- a/crates/railhub-net/src/dial.rs
+++ b/crates/railhub-net/src/dial.rs
@@ -18,7 +18,7 @@
     }
     // SAFETY: the descriptor is open and has no other owner.
     let stream = unsafe { TcpStream::from_raw_fd(socket.into_raw_fd()) };
-    let guard = Guard::new(&stream, within);
+    let guard = Guard::both_ways(&stream, within);
     loop {
         // The guard's shutdown leaves an error of its own on the socket, so it is asked first.
         if guard.fired() {
--- a/crates/railhub-net/src/http.rs
+++ b/crates/railhub-net/src/http.rs
@@ -101,7 +101,7 @@
         );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body);
-        let guard = Guard::new(&stream, self.within.as_secs_f64());
+        let guard = Guard::both_ways(&stream, self.within.as_secs_f64());
         stream.write_all(&bytes).map_err(HttpFault::Broken)?;
         let read = read_answer(&mut stream);
         let late = guard.fired();
@@ -142,7 +142,7 @@
     /// Asks; the peer may be silent for a span at most, from now on.
     pub fn open(address: SocketAddr, path: &str, connect: f64, silent: f64) -> Result<Feed, HttpFault> {
         let mut stream = dial(address, connect).map_err(HttpFault::Unreached)?;
-        let guard = Guard::new(&stream, silent);
+        let guard = Guard::both_ways(&stream, silent);
         let ask = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
         stream.write_all(ask.as_bytes()).map_err(HttpFault::Broken)?;
         let mut read = Vec::new();
--- a/crates/railhub-net/src/lib.rs
+++ b/crates/railhub-net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 mod inbox;
 mod listen;
+mod pool;
 mod stream;
 mod task;
 
@@ -17,5 +18,6 @@
 pub use dial::dial;
 pub use inbox::Inbox;
 pub use listen::Listener;
+pub use pool::Pool;
 pub use stream::{connect, reset, split, FrameReader, FrameWriter, StreamEnd};
 pub use task::{go, start, start_small, Task};
--- a/crates/railhub-platform-net/src/lib.rs
+++ b/crates/railhub-platform-net/src/lib.rs
@@ -51,7 +51,7 @@
     one_heap();
     let shared = shared::Shared::new(&assignment);
     let calls = relay::Calls::start(&shared);
-    let probes = probes::Probes::start(&shared);
+    let probes = probes::start(&shared);
     let owner = owner::Owner::new(&assignment, &shared, calls, probes);
     let _listener = listener::open(&assignment, &shared)?;
     tracing::info!(name = assignment.name, address = %assignment.listen, "the steward listens");
@@ -77,3 +77,25 @@
     // SAFETY: sets a number of the allocator's.
     unsafe { libc::mallopt(libc::M_ARENA_MAX, 1) };
 }
+
+#[cfg(test)]
+mod tests {
+    /// Set for the process that the test below starts.
+    const CHILD: &str = "RAILHUB_TEST_PANICS";
+
+    #[test]
+    fn a_panic_in_a_coroutine_ends_the_process_with_its_words() {
+        if std::env::var_os(CHILD).is_some() {
+            super::end_on_panic();
+            railhub_net::go(|| panic!("a coroutine is lost"));
+            std::thread::sleep(std::time::Duration::from_secs(10));
+            return;
+        }
+        let mut child = std::process::Command::new(std::env::current_exe().expect("this one"));
+        let ended =
+            child.args(["a_panic_in_a_coroutine", "--nocapture"]).env(CHILD, "1").output().expect("it runs");
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert_eq!(ended.status.code(), Some(101), "{said}");
+        assert!(said.contains("the steward ends") && said.contains("a coroutine is lost"), "{said}");
+    }
+}
--- a/crates/railhub-platform-net/src/listener.rs
+++ b/crates/railhub-platform-net/src/listener.rs
@@ -4,7 +4,7 @@
 use crate::RunFault;
 use may::net::TcpStream;
 use railhub::{Seconds, ZoneId};
-use railhub_net::{after, go, Closer, Guard, Listener};
+use railhub_net::{go, Closer, Guard, Listener};
 use railhub_platform::collector::{self, Frame};
 use railhub_platform::{Assignment, Spoilt};
 use railhub_proto::Deframer;
@@ -35,7 +35,7 @@
     Listener::open(assignment.listen, move |stream, _| {
         let (shared, visits) = (shared.clone(), visits.clone());
         let Some(visit) = visits.enter(&stream, &shared) else { return };
-        go(move || serve(&shared, &visit, stream));
+        go(move || serve(&shared, stream, visit));
     })
     .map_err(|e| RunFault::Listen(assignment.listen, e))
 }
@@ -62,7 +62,8 @@
 impl Visits {
     /// When there is no room, the oldest that has not joined must go; `None` if all have.
     fn enter(self: &Arc<Visits>, stream: &TcpStream, shared: &Shared) -> Option<Visit> {
-        let guard = Guard::new(stream, SILENT);
+        // Nothing that it says before it has joined puts this off.
+        let guard = Guard::both_ways(stream, JOIN_WITHIN);
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let mut open = self.open.lock().expect("no holder panics");
         if open.len() >= self.room {
@@ -72,24 +73,17 @@
         }
         open.insert(number, Visitor { closer: guard.closer(), zone: None });
         drop(open);
-        let visits = self.clone();
-        let closer = guard.closer();
-        after(JOIN_WITHIN, move || {
-            let open = visits.open.lock().expect("no holder panics");
-            if open.get(&number).is_some_and(|visitor| visitor.zone.is_none()) {
-                closer.close();
-            }
-        });
         Some(Visit { number, visits: self.clone(), guard })
     }
 }
 
 impl Visit {
     /// It is the zone's collector; the oldest of too many of them is cut off.
-    fn join(&self, zone: ZoneId) {
+    fn join(&mut self, zone: ZoneId, stream: &TcpStream) {
+        self.guard = Guard::both_ways(stream, SILENT);
         let mut open = self.visits.open.lock().expect("no holder panics");
         if let Some(visitor) = open.get_mut(&self.number) {
-            visitor.zone = Some(zone);
+            *visitor = Visitor { closer: self.guard.closer(), zone: Some(zone) };
         }
         let alike: Vec<u64> = open
             .iter()
@@ -107,7 +101,8 @@
     }
 }
 
-fn serve(shared: &Shared, visit: &Visit, mut stream: TcpStream) {
+/// The visit is the last parameter, so that its guard ends before the socket does.
+fn serve(shared: &Shared, mut stream: TcpStream, mut visit: Visit) {
     let _held = Holds::one(&shared.held.visitors);
     let mut deframer = Deframer::new(collector::FIRST_LIMIT);
     let mut joined: Option<(ZoneId, Holds)> = None;
@@ -121,10 +116,13 @@
             read
         });
         let refused = match frame {
-            Ok(None) => match read(&mut stream, &visit.guard, &mut deframer) {
-                true => continue,
-                false => return,
-            },
+            Ok(None) if read(&mut stream, &mut deframer) => {
+                if joined.is_some() {
+                    visit.guard.heard();
+                }
+                continue;
+            }
+            Ok(None) => return,
             Ok(Some(Ok(Frame::Ping))) => {
                 if !say(&stream, &collector::pong()) {
                     return;
@@ -132,7 +130,7 @@
                 continue;
             }
             Ok(Some(Ok(Frame::Collector(zone)))) if joined.is_none() => {
-                visit.join(zone);
+                visit.join(zone, &stream);
                 deframer.set_limit(collector::MESSAGE_LIMIT);
                 joined = Some((zone, Holds::one(&shared.held.collectors)));
                 continue;
@@ -166,12 +164,10 @@
 }
 
 /// Whether the peer goes on.
-fn read(stream: &mut TcpStream, guard: &Guard, deframer: &mut Deframer) -> bool {
+fn read(stream: &mut TcpStream, deframer: &mut Deframer) -> bool {
     let mut bytes = [0; READ_AT_ONCE];
-    let count = stream.read(&mut bytes);
-    match count {
-        Ok(count) if count > 0 && !guard.fired() => {
-            guard.heard();
+    match stream.read(&mut bytes) {
+        Ok(count) if count > 0 => {
             deframer.push(&bytes[..count]);
             true
         }
--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -30,10 +30,16 @@
     pub rounds: u64,
     pub informed: bool,
     pub sums_dropped: u64,
+    pub probes_dropped: u64,
+    /// Orders that a later one about the same made needless.
+    pub folded: u64,
     pub late_99: Seconds,
     pub late_most: Seconds,
     pub call_99: Seconds,
     pub call_most: Seconds,
+    /// From the first report that no call had followed to the answer of the next call.
+    pub report_99: Seconds,
+    pub report_most: Seconds,
     pub longest_round: Seconds,
 }
 
@@ -46,8 +52,12 @@
     source: u64,
     call_not_before: Seconds,
     called_at: Seconds,
+    /// When the oldest report came that no call has followed yet, and that of the call which is out.
+    reported_at: Option<Seconds>,
+    called_for: Option<Seconds>,
     late: Histogram<u64>,
     called: Histogram<u64>,
+    reported: Histogram<u64>,
     shown: Shown,
 }
 
@@ -62,8 +72,11 @@
             source: 0,
             call_not_before: 0.0,
             called_at: 0.0,
+            reported_at: None,
+            called_for: None,
             late: times(),
             called: times(),
+            reported: times(),
             shown: Shown::default(),
         }
     }
@@ -79,6 +92,7 @@
                 }
             }
             while let Some(sum) = self.shared.inbox.next_report() {
+                self.reported_at.get_or_insert_with(now);
                 match sum {
                     Sum::Tries(sum) => {
                         tracing::debug!(?sum, "tries");
@@ -136,8 +150,11 @@
             count.fetch_add(1, Ordering::Relaxed);
             self.call_not_before = now() + CALL_PAUSE;
         } else {
-            let took = ((now() - self.called_at) * 1e6) as u64;
-            self.called.saturating_record(took);
+            let now = now();
+            self.called.saturating_record(micros(now - self.called_at));
+            if let Some(reported_at) = self.called_for.take() {
+                self.reported.saturating_record(micros(now - reported_at));
+            }
         }
         if let Some(dropped) = self.desk.end_call(answer) {
             tracing::error!("{dropped}");
@@ -148,10 +165,10 @@
         let began = now();
         let asked = self.desk.act(began);
         for late in &asked.late {
-            self.late.saturating_record((late * 1e6) as u64);
+            self.late.saturating_record(micros(*late));
         }
         for (host, address) in asked.probes {
-            self.probes.ask(host, address);
+            self.probes.ask((host, address));
         }
         for cause in asked.notes {
             tracing::info!(cause, "decision");
@@ -177,21 +194,27 @@
             self.shared.counts.calls.fetch_add(1, Ordering::Relaxed);
             tracing::debug!(id = call.id, orders = call.count, bytes = call.bytes.len(), "a call leaves");
             self.called_at = now();
+            self.called_for = self.called_for.or(self.reported_at.take());
             self.calls.make(call);
         }
     }
 
     fn show(&mut self) {
-        let micros = |value: u64| value as f64 / 1e6;
+        let span = |micros: u64| micros as f64 / 1e6;
         let shown = &mut self.shown;
         shown.generation = self.desk.generation();
         (shown.joined, shown.hosts) = (self.desk.joined(), self.desk.hosts());
         (shown.waiting, shown.informed) = (self.desk.orders_waiting(), self.desk.is_informed());
         shown.sums_dropped = self.desk.sums_dropped + self.shared.inbox.sums_dropped.load(Ordering::Relaxed);
-        shown.late_99 = micros(self.late.value_at_quantile(0.99));
-        shown.late_most = micros(self.late.max());
-        shown.call_99 = micros(self.called.value_at_quantile(0.99));
-        shown.call_most = micros(self.called.max());
+        (shown.probes_dropped, shown.folded) = (self.probes.dropped(), self.desk.orders_folded());
+        let tail = |times: &Histogram<u64>| (span(times.value_at_quantile(0.99)), span(times.max()));
+        (shown.late_99, shown.late_most) = tail(&self.late);
+        (shown.call_99, shown.call_most) = tail(&self.called);
+        (shown.report_99, shown.report_most) = tail(&self.reported);
         *self.shared.owner.lock().expect("no holder panics") = shown.clone();
     }
 }
+
+fn micros(span: Seconds) -> u64 {
+    (span.max(0.0) * 1e6) as u64
+}
--- a/crates/railhub-platform-net/src/relay.rs
+++ b/crates/railhub-platform-net/src/relay.rs
@@ -47,7 +47,7 @@
         Err(fault) => return format!("cannot connect: {fault}"),
     };
     let _held = Holds::one(&shared.held.relay);
-    let guard = Guard::new(&stream, SILENT);
+    let guard = Guard::both_ways(&stream, SILENT);
     let source = shared.counts.subscriptions.fetch_add(1, Ordering::Relaxed) + 1;
     if let Err(fault) = stream.write_all(&news::subscribe(source)) {
         return format!("cannot subscribe: {fault}");
@@ -155,7 +155,7 @@
         }
     };
     let _held = Holds::one(&shared.held.relay);
-    let guard = Guard::new(&open.stream, ANSWER);
+    let guard = Guard::both_ways(&open.stream, ANSWER);
     open.stream.write_all(&call.bytes).map_err(|fault| fault.to_string())?;
     let read = |bytes: &[u8]| {
         let end = bytes.len().min(200);
--- a/crates/railhub-platform/src/assignment.rs
+++ b/crates/railhub-platform/src/assignment.rs
@@ -61,9 +61,8 @@
     pub known: Page,
     pub terms: Terms,
     pub names: Names,
-    /// Least span between two rounds, and how long a probe may wait for its connection.
+    /// Least span between two rounds.
     pub tick: Seconds,
-    pub connect_within: Seconds,
 }
 
 #[derive(Deserialize)]
@@ -102,7 +101,6 @@
 
 #[derive(Deserialize)]
 struct Ceilings {
-    connect_timeout_us: u64,
     probes: bool,
 }
 
@@ -163,7 +161,7 @@
         let sheet: Sheet = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| fault(&e.path().to_string(), e.inner()))?;
         json.end().map_err(|e| fault("the end", e))?;
-        let Told { ceilings, host_types, request_classes, zones, .. } = &sheet.settings;
+        let Told { host_types, request_classes, zones, .. } = &sheet.settings;
         if request_classes.is_empty() || request_classes.len() > CLASSES_MOST {
             let many = request_classes.len();
             return Err(fault(
@@ -193,7 +191,6 @@
             sockets: sheet.limits.sockets,
             memory_mb: amount(sheet.limits.memory_mb, "limits.memory_mb")? as usize,
             tick: seconds(sheet.settings.tick_us, "settings.tick_us")?,
-            connect_within: seconds(ceilings.connect_timeout_us, "settings.ceilings.connect_timeout_us")?,
             known,
             terms,
             names,
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -5,10 +5,10 @@
 use crate::news::{Answer, News};
 use crate::orders::{Call, Draft, Order, Waiting};
 use railhub::{
-    Charge, DemandSum, HostId, Phase, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward, StreamChange,
-    TimerId, TrySum,
+    Charge, DemandSum, HostId, HostList, Phase, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward,
+    StreamChange, TimerId, TrySum,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Seconds without a word after which what stands has been told whole, unless a sign of life says so sooner: at the
@@ -58,7 +58,7 @@
     timers: Vec<(Seconds, TimerId)>,
     generation: u64,
     addresses: BTreeMap<HostId, SocketAddr>,
-    proxies: BTreeMap<ProxyId, ()>,
+    proxies: BTreeSet<ProxyId>,
     waiting: Waiting,
     calling: bool,
     pub sums_dropped: u64,
@@ -80,7 +80,7 @@
             timers: Vec::new(),
             generation: 0,
             addresses: BTreeMap::new(),
-            proxies: BTreeMap::new(),
+            proxies: BTreeSet::new(),
             waiting: Waiting::default(),
             calling: false,
             sums_dropped: 0,
@@ -113,27 +113,24 @@
                 self.addresses.insert(entry.listed.host, entry.address);
             }
         }
-        self.round.lists.push(page.list());
+        fold(&mut self.round.lists, page.list());
         self.news = true;
         true
     }
 
     pub fn hear_tries(&mut self, sum: TrySum) {
-        if self.round.tries.len() < SUMS_A_ROUND {
-            self.round.tries.push(sum);
-            self.news = true;
-        } else {
-            self.sums_dropped += 1;
-        }
+        let kept = push(&mut self.round.tries, sum);
+        self.count_sum(kept);
     }
 
     pub fn hear_demand(&mut self, sum: DemandSum) {
-        if self.round.demand.len() < SUMS_A_ROUND {
-            self.round.demand.push(sum);
-            self.news = true;
-        } else {
-            self.sums_dropped += 1;
-        }
+        let kept = push(&mut self.round.demand, sum);
+        self.count_sum(kept);
+    }
+
+    fn count_sum(&mut self, kept: bool) {
+        self.news |= kept;
+        self.sums_dropped += u64::from(!kept);
     }
 
     pub fn hear_probe(&mut self, result: ProbeResult) {
@@ -185,8 +182,9 @@
 
     /// A line of a table that was given: just now, or so long ago that the module knows the slice already.
     fn hold(&mut self, slice: SliceId, host: HostId, weight: f64) {
-        let pending = self.charges.iter_mut().chain(&mut self.round.charges);
+        let pending = self.round.charges.iter_mut().chain(&mut self.charges);
         let lines = match pending.filter(|charge| charge.slice == slice).last() {
+            Some(charge) if !charge.given => return,
             Some(charge) => &mut charge.lines,
             None => {
                 let Some((_, believed)) = self.steward.charges().find(|(id, _)| *id == slice) else { return };
@@ -201,7 +199,7 @@
 
     fn stream(&mut self, proxy: ProxyId, up: bool, first: bool) {
         if up {
-            self.proxies.insert(proxy, ());
+            self.proxies.insert(proxy);
         } else {
             self.proxies.remove(&proxy);
         }
@@ -213,12 +211,11 @@
         let Some(standing) = self.standing.take() else { return };
         self.informed = true;
         self.news = true;
-        // What came before this subscription is part of what stands.
+        // Charges told before this subscription are part of what stands; that a proxy left before it is not.
         self.charges.clear();
         self.round.charges.clear();
-        self.round.streams.clear();
         let absent: Vec<ProxyId> =
-            self.proxies.keys().copied().filter(|proxy| !standing.proxies.contains_key(proxy)).collect();
+            self.proxies.iter().copied().filter(|proxy| !standing.proxies.contains_key(proxy)).collect();
         absent.into_iter().for_each(|proxy| self.stream(proxy, false, false));
         // One that is believed joined may have left and come back unheard: it counts as joined anew.
         standing.proxies.iter().for_each(|(proxy, first)| self.stream(*proxy, true, *first));
@@ -331,7 +328,34 @@
     }
 
     pub fn orders_waiting(&self) -> usize {
-        self.waiting.len()
+        self.waiting.count()
+    }
+
+    pub fn orders_folded(&self) -> u64 {
+        self.waiting.folded
+    }
+}
+
+/// Whether there was room.
+fn push<T>(sums: &mut Vec<T>, sum: T) -> bool {
+    let room = sums.len() < SUMS_A_ROUND;
+    if room {
+        sums.push(sum);
+    }
+    room
+}
+
+/// One list a round, whatever comes before the module may act: a whole one replaces what came before, changes
+/// replace the entries that they are about. So it holds each host once, however long the relay is away.
+fn fold(lists: &mut Vec<HostList>, newer: HostList) {
+    match lists.last_mut() {
+        Some(list) if !newer.whole => {
+            list.entries.retain(|entry| newer.entries.iter().all(|new| new.host != entry.host));
+            // In a whole list, one that is gone is one that is lacking.
+            list.entries
+                .extend(newer.entries.into_iter().filter(|new| !list.whole || new.phase != Phase::Gone));
+        }
+        _ => *lists = vec![newer],
     }
 }
 
@@ -340,3 +364,53 @@
     believed.len() == stored.len()
         && believed.iter().all(|(host, weight)| stored.iter().any(|(h, w)| h == host && alike(*w, *weight)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn desk() -> Desk {
+        Desk::new(&Assignment::read(include_str!("../tests/assignment.json")).expect("a good file"))
+    }
+
+    #[test]
+    fn a_proxy_that_left_just_before_a_new_subscription_is_told_to_have_left() {
+        let mut desk = desk();
+        let (proxy, now) = (ProxyId(5), 1.0);
+        desk.hear_news(now, News::Joined { proxy, first: true });
+        desk.hear_news(now, News::Left(proxy));
+        [News::Subscribed, News::Ping].into_iter().for_each(|news| desk.hear_news(now, news));
+        assert!(desk.round.streams.last().is_some_and(|change| change.proxy == proxy && !change.up));
+    }
+
+    #[test]
+    fn lists_that_wait_for_the_relay_are_one_list_of_each_host_once() {
+        let mut desk = desk();
+        let names = desk.names.clone();
+        for generation in 42..500 {
+            let (old, new) = (generation - 1, generation);
+            let page = format!(
+                "{{\"generation\":{generation},\"reset\":false,\"instances\":[\
+                 {{\"instanceId\":\"n-{old}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"gone\",\"weight\":1}},\
+                 {{\"instanceId\":\"n-{new}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"ready\",\"weight\":1}}]}}"
+            );
+            assert!(desk.hear_page(&crate::discovery::read(page.as_bytes(), &names).expect("a page")));
+        }
+        let [list] = desk.round.lists.as_slice() else { panic!("one list") };
+        let hosts: Vec<&str> = list.entries.iter().map(|entry| entry.host.name()).collect();
+        assert_eq!((list.whole, hosts), (true, vec!["s-1", "s-2", "n-499"]));
+    }
+
+    #[test]
+    fn a_line_joins_the_latest_word_on_its_slice() {
+        let mut desk = desk();
+        let (slice, host) = (SliceId(3), HostId::new("s-1").expect("a name"));
+        desk.round.charges.push(Charge { slice, given: true, lines: Vec::new() });
+        desk.hear_news(1.0, News::Given { slice, on: false });
+        desk.hear_news(1.0, News::Held { slice, host, weight: 1.0 });
+        assert!(desk.charges[0].lines.is_empty() && desk.round.charges[0].lines.is_empty());
+        desk.hear_news(1.0, News::Given { slice, on: true });
+        desk.hear_news(1.0, News::Held { slice, host, weight: 1.0 });
+        assert_eq!(desk.charges[1].lines, [(host, 1.0)]);
+    }
+}
--- a/crates/railhub-platform/src/orders.rs
+++ b/crates/railhub-platform/src/orders.rs
@@ -1,5 +1,5 @@
 //! What the module has ordered and the relay has not taken: folded, bounded, and said in calls.
-use railhub::{ClassId, HostId, MarkId, ProxyId, SecondTry, SliceId};
+use railhub::{ClassId, HostId, MarkId, Orders, ProxyId, SecondTry, Seconds, SliceId, TimerId};
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -118,11 +118,8 @@
         self.places.retain(|about, _| !matches!(about, About::Line(of, _) if *of == slice));
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.queue.is_empty() && self.out.is_empty()
-    }
-
-    pub fn len(&self) -> usize {
+    /// Orders that wait or are out.
+    pub fn count(&self) -> usize {
         self.queue.len() + self.out.len()
     }
 
@@ -199,11 +196,11 @@
 pub struct Draft<'a> {
     pub waiting: &'a mut Waiting,
     pub probes: Vec<HostId>,
-    pub wakes: Vec<(railhub::Seconds, railhub::TimerId)>,
+    pub wakes: Vec<(Seconds, TimerId)>,
     pub notes: Vec<String>,
 }
 
-impl railhub::Orders for Draft<'_> {
+impl Orders for Draft<'_> {
     fn set_line(&mut self, slice: SliceId, host: HostId, weight: f64) {
         self.waiting.push(Order::Line(slice, host, weight));
     }
@@ -223,7 +220,7 @@
     fn probe(&mut self, host: HostId) {
         self.probes.push(host);
     }
-    fn wake(&mut self, after: railhub::Seconds, timer: railhub::TimerId) {
+    fn wake(&mut self, after: Seconds, timer: TimerId) {
         self.wakes.push((after, timer));
     }
     fn note(&mut self, text: &str) {
--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -209,7 +209,7 @@
     waiting.taken(3);
     for slice in 0..u16::MAX {
         waiting.push(Order::Line(SliceId(slice), host(1), 1.0));
-        assert!(waiting.len() <= 20_000);
+        assert!(waiting.count() <= 20_000);
     }
     assert!(waiting.overflowed, "what was dropped must be asked for anew");
 }
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -4,7 +4,7 @@
 use crate::kernel::Figures;
 use crate::outbox::MessageCap;
 use crate::owner::{Outlets, Owner};
-use crate::probes::Probes;
+use crate::probes;
 use crate::roster;
 use crate::store::StoreWriter;
 use crate::streams::{serve, Doors, StreamTerms};
@@ -50,7 +50,7 @@
         let listener =
             Listener::open(installation.listen, move |stream, _| serve(stream, &taking, &doors, streams))
                 .map_err(|e| StartFault::Listen(installation.listen, e))?;
-        let probes = Probes::start(installation.probes_at_once, installation.probe_within, &inbox);
+        let probes = probes::start(installation.probes_at_once, installation.probe_within, &inbox);
         let store = installation.store.map(|store| StoreWriter::start(store, inbox.clone()));
         let roster = roster::follow(installation.roster, inbox.clone());
         let owner =
