A test that waits for a proxy to leave first sees that it joined

The figures are brought up to date once a turn, so joined == 0 could still be the figure of before the proxy joined; the wait then passed at once, and the other process dialled before the holder's end was known and was rightly turned away. The stream code itself did as it should.

--- a/crates/railhub-steward/tests/streams.rs
+++ b/crates/railhub-steward/tests/streams.rs
@@ -159,7 +159,9 @@
     fleet.list(0, DRAINING);
     let gone = fleet.address(0);
     again.obey_until(|held| !names(held, gone));
-    // Once the holder has ended, another process may have the number.
+    // Once the holder has ended, another process may have the number. The figures are a turn old: a 0 of before
+    // it joined is no sign that it left.
+    eventually("it is seen", || steward.figures().joined == 1);
     drop(again);
     eventually("it left", || steward.figures().joined == 0);
     let mut next = Peer::dial_as(steward.address, 3, 78, Held::default());
