Slices from another steward count as usual until heard of; stored standbys stay

Reports and calls in the log: the steward that took the other's 75 slices in at 14.7 s heard of their demand at 16.5 s; in between they counted as no demand while its part of each host had doubled, so that every host seemed half empty and a cold newcomer went from 15 to 27 tries in 2 s. Ruled out: late calls (answers within 11 ms), tables lost (served), the other's dead hosts (left at 12.8 s). A steward that took all in at 20.7 s wrote 286 lines at once: a new standby for each table, as the stored one was forgotten. Lines: Slice::new (standby None, demand empty). Change: a slice given counts as the mean of those heard of, for 4 s at most, until its first report; the stored second line stays the standby; a weight told rounded is no difference for the module either.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 const RETURNS_PER_TURN: usize = 2;
 /// Seconds over which demand and times are averaged: some tens of operations a host.
 const MEMORY: Seconds = 4.0;
+/// Seconds a slice that was given may be unheard of and count as usual: its first report comes within them.
+const UNHEARD: Seconds = 4.0;
 /// Seconds over which a host's speed is averaged: long, since it decides most.
 const SPEED_MEMORY: Seconds = 10.0;
 /// Times the middle latency at which a host lags.
@@ -231,19 +233,32 @@
     standby: Option<HostId>,
     written: Vec<(HostId, f64)>,
     demand: Vec<Rate>,
+    given_at: Seconds,
+    /// Operations a second it is taken to have until it is heard of.
+    presumed: f64,
     rests_until: Seconds,
 }
 
 impl Slice {
-    fn new(stored: Vec<(HostId, f64)>, classes: usize) -> Slice {
+    /// The standby stays as stored too: to choose anew would rewrite every table.
+    fn new(now: Seconds, stored: Vec<(HostId, f64)>, classes: usize) -> Slice {
         let owner = stored.iter().max_by(|a, b| a.1.total_cmp(&b.1)).map(|line| line.0);
+        let standby = stored.iter().map(|line| line.0).find(|host| Some(*host) != owner);
         let demand = vec![Rate::default(); classes];
-        Slice { owner, home: None, standby: None, written: stored, demand, rests_until: 0.0 }
+        let (home, given_at, presumed, rests_until) = (None, now, 0.0, 0.0);
+        Slice { owner, home, standby, written: stored, demand, given_at, presumed, rests_until }
     }
 
-    /// The lines that differ from those written, new ones first: no table is empty between.
+    fn is_heard(&self) -> bool {
+        self.demand.iter().any(|class| class.span.value > 0.0)
+    }
+
+    /// The lines that differ from those written, new ones first: no table is empty between. A store may tell
+    /// weights in few decimals, a standby's as 0: that is no difference.
     fn changes(&self, wanted: &[(HostId, f64)]) -> Vec<(HostId, f64)> {
-        let mut lines: Vec<_> = wanted.iter().copied().filter(|line| !self.written.contains(line)).collect();
+        let same = |a: &(HostId, f64), b: &(HostId, f64)| a.0 == b.0 && (a.1 - b.1).abs() <= STANDBY;
+        let stands = |line: &(HostId, f64)| self.written.iter().any(|written| same(written, line));
+        let mut lines: Vec<_> = wanted.iter().copied().filter(|line| !stands(line)).collect();
         let old = self.written.iter().filter(|line| wanted.iter().all(|kept| kept.0 != line.0));
         lines.extend(old.map(|line| (line.0, 0.0)));
         lines
@@ -326,7 +341,8 @@
         let now = round.now;
         let turn = !std::mem::replace(&mut self.started, true) || !round.timers.is_empty();
         round.lists.iter().for_each(|list| self.hear_list(now, list, orders));
-        round.charges.iter().for_each(|charge| self.take_charge(now, charge));
+        let usual = if round.charges.is_empty() { 0.0 } else { self.usual_demand() };
+        round.charges.iter().for_each(|charge| self.take_charge(now, charge, usual));
         round.tries.iter().for_each(|sum| self.hear_tries(now, sum));
         round.demand.iter().for_each(|sum| self.hear_demand(now, sum));
         let verdicts = round.probes.iter().filter(|probe| self.hear_probe(now, probe, orders)).count();
@@ -348,6 +364,8 @@
             if turn {
                 self.judge(now, orders);
             }
+            let heard = |s: &Slice| s.is_heard() || now - s.given_at >= UNHEARD;
+            self.slices.values_mut().filter(|s| heard(s)).for_each(|s| s.presumed = 0.0);
             let mut loads = self.loads(now);
             self.hand_over(now, &mut loads, orders);
             if turn {
@@ -410,15 +428,15 @@
     }
 
     /// A host that the store names has served: it needs no probe to be trusted.
-    fn take_charge(&mut self, now: Seconds, charge: &Charge) {
+    fn take_charge(&mut self, now: Seconds, charge: &Charge, presumed: f64) {
         self.slices.remove(&charge.slice);
         if charge.given {
             for (id, _) in &charge.lines {
                 let unheard = self.hosts.get_mut(id).filter(|host| host.last_good == 0.0);
                 unheard.into_iter().for_each(|host| (host.down, host.last_good) = (false, now));
             }
-            let slice = Slice::new(charge.lines.clone(), self.terms.classes.len());
-            self.slices.insert(charge.slice, slice);
+            let slice = Slice::new(now, charge.lines.clone(), self.terms.classes.len());
+            self.slices.insert(charge.slice, Slice { presumed, ..slice });
         }
     }
 
@@ -493,8 +511,17 @@
         self.deltas.retain(|delta| !delta.awaited.is_empty());
     }
 
+    /// Guards hosts where slices come from another steward: until its first report, each counts as the mean
+    /// of those heard of. Else their owners would seem idle, and be given what they cannot hold.
+    fn usual_demand(&self) -> f64 {
+        let heard = || self.slices.values().filter(|slice| slice.is_heard());
+        let all: f64 = heard().flat_map(|slice| slice.demand.iter().map(Rate::read)).sum();
+        all / heard().count().max(1) as f64
+    }
+
     fn rate(&self, slice: &Slice) -> f64 {
-        slice.demand.iter().zip(&self.levels).map(|(class, level)| class.read() * level).sum()
+        let heard = slice.demand.iter().zip(&self.levels).map(|(class, level)| class.read() * level);
+        slice.presumed + heard.sum::<f64>()
     }
 
     /// The middle service time among hosts of a kind, or else among all.
@@ -821,7 +848,7 @@
         };
         let usable = lines(Host::usable);
         let wanted = if usable.is_empty() { lines(|host| host.phase == Phase::Ready) } else { usable };
-        let slice = self.slices.entry(table).or_insert_with(|| Slice::new(Vec::new(), 0));
+        let slice = self.slices.entry(table).or_insert_with(|| Slice::new(now, Vec::new(), 0));
         slice.changes(&wanted).into_iter().for_each(|line| orders.set_line(table, line.0, line.1));
         slice.written = wanted;
         let joined = round.streams.iter().filter(|change| change.up && self.proxies.contains(&change.proxy));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -187,6 +187,36 @@
     assert!(written.lines.is_empty() && written.levels.is_empty());
 }
 
+#[test]
+fn a_stored_table_is_not_rewritten_for_its_standby_though_the_store_tells_it_rounded() {
+    let mut steward = steward(terms());
+    let stored = |k: u16| vec![(host(4), 0.0), (host(1 + (k % 3) as u8), 1.0)];
+    let charges = (0..12).map(|k| Charge { slice: SliceId(k), given: true, lines: stored(k) }).collect();
+    let mut written = Written::default();
+    steward.round(&Round { charges, ..turn(101.0) }, &mut written);
+    assert!(written.lines.is_empty(), "{:?}", written.lines);
+    assert!(steward.slices.values().all(|slice| slice.standby == Some(host(4))));
+}
+
+#[test]
+fn slices_from_another_steward_count_as_usual_until_they_are_heard_of() {
+    let mut steward = steward(terms());
+    work(&mut steward, 101.0, 2.0, 0.1);
+    let given = |k| Charge { slice: SliceId(k), given: true, lines: vec![(host(1), 1.0)] };
+    let charges = (0..6).map(given).collect();
+    steward.round(&Round { now: 101.1, charges, ..Round::default() }, &mut Written::default());
+    let rate = |steward: &Steward, k: u16| steward.rate(&steward.slices[&SliceId(k)]);
+    assert_eq!((rate(&steward, 0), rate(&steward, 7)), (2.0, 2.0));
+    let held = f64::from(owned(&steward, 1) as u16);
+    assert_eq!(steward.loads(101.1)[&host(1)].demand, held * 2.0);
+    let told = DemandSum { slice: SliceId(0), class: ClassId(0), operations: 5.0, span: 1.0 };
+    steward.round(&Round { demand: vec![told], ..turn(102.0) }, &mut Written::default());
+    assert_eq!((rate(&steward, 0), rate(&steward, 1)), (5.0, 2.0));
+    // One that is never heard of has no traffic.
+    steward.round(&turn(101.1 + UNHEARD), &mut Written::default());
+    assert_eq!(rate(&steward, 1), 0.0);
+}
+
 #[test]
 fn a_draining_host_leaves_every_table_at_once_and_its_heir_comes_first() {
     let (steward_before, mut steward) = (steward(terms()), steward(terms()));
