A report counts for the time that its slice has been in charge, at most

The reports themselves: after a steward's start at 18.3 s and its slices at 20.7 s the first ones span 3.07, 4.07, 5.07 s, reaching back to the start; those of slices taken over span 5 to 6 s. Ruled out: lost reports (132, 204, 201 a second came), wrong operations (their sum fits). Lines: hear_demand and hear_tries, which took the span as told. Change: a span counts for the time since the slice (or the first slice) was given, less a second for the way, at most. Calls can be read in the log at level trace.

--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -193,6 +193,7 @@
         if let Some(call) = self.desk.next_call() {
             self.shared.counts.calls.fetch_add(1, Ordering::Relaxed);
             tracing::debug!(id = call.id, orders = call.count, bytes = call.bytes.len(), "a call leaves");
+            tracing::trace!(said = %String::from_utf8_lossy(&call.bytes).trim_end(), "call");
             self.called_at = now();
             self.called_for = self.called_for.or(self.reported_at.take());
             self.calls.make(call);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,10 @@
 const MEMORY: Seconds = 4.0;
 /// Seconds a slice that was given may be unheard of and count as usual: its first report comes within them.
 const UNHEARD: Seconds = 4.0;
+/// Seconds from the end of what a report covers to its coming, and the least it can cover: reports are
+/// gathered each second and take as long on their way.
+const REPORT_AGE: Seconds = 1.0;
+const LEAST_SPAN: Seconds = 0.5;
 /// Seconds over which a host's speed is averaged: long, since it decides most.
 const SPEED_MEMORY: Seconds = 10.0;
 /// Times the middle latency at which a host lags.
@@ -145,6 +149,12 @@
     }
 }
 
+/// Guards estimates after slices were given: a first report may reach back to before that, when nothing came,
+/// and would tell of a fraction of the demand, or of a host with little in hand.
+fn covered(now: Seconds, given_at: Seconds, span: Seconds) -> Seconds {
+    span.min((now - given_at - REPORT_AGE).max(LEAST_SPAN))
+}
+
 /// The one host whose score stands a gap above all others.
 fn outlier(scores: &[(HostId, f64)]) -> Option<HostId> {
     let top = scores.iter().max_by(|a, b| a.1.total_cmp(&b.1))?;
@@ -305,6 +315,8 @@
     started: bool,
     hosts: BTreeMap<HostId, Host>,
     slices: BTreeMap<SliceId, Slice>,
+    /// When it was given slices and had none.
+    charged_at: Seconds,
     proxies: BTreeSet<ProxyId>,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
@@ -429,6 +441,7 @@
 
     /// A host that the store names has served: it needs no probe to be trusted.
     fn take_charge(&mut self, now: Seconds, charge: &Charge, presumed: f64) {
+        self.charged_at = if self.slices.is_empty() { now } else { self.charged_at };
         self.slices.remove(&charge.slice);
         if charge.given {
             for (id, _) in &charge.lines {
@@ -442,6 +455,7 @@
 
     fn hear_tries(&mut self, now: Seconds, sum: &TrySum) {
         let size = self.hosts.get(&sum.host).map_or(0.0, |host| self.part_of(now, host));
+        let sum = &TrySum { span: covered(now, self.charged_at, sum.span), ..sum.clone() };
         let Some(host) = self.hosts.get_mut(&sum.host) else { return };
         *(if sum.tries > sum.failed { &mut host.last_good } else { &mut host.last_bad }) = now;
         let classes = &self.terms.classes;
@@ -454,9 +468,10 @@
     }
 
     fn hear_demand(&mut self, now: Seconds, sum: &DemandSum) {
-        let slice = self.slices.get_mut(&sum.slice);
-        if let Some(demand) = slice.and_then(|slice| slice.demand.get_mut(usize::from(sum.class.0))) {
-            demand.add(now, sum.operations, sum.span, MEMORY);
+        let Some(slice) = self.slices.get_mut(&sum.slice) else { return };
+        let span = covered(now, slice.given_at, sum.span);
+        if let Some(demand) = slice.demand.get_mut(usize::from(sum.class.0)) {
+            demand.add(now, sum.operations, span, MEMORY);
         }
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -210,13 +210,28 @@
     let held = f64::from(owned(&steward, 1) as u16);
     assert_eq!(steward.loads(101.1)[&host(1)].demand, held * 2.0);
     let told = DemandSum { slice: SliceId(0), class: ClassId(0), operations: 5.0, span: 1.0 };
-    steward.round(&Round { demand: vec![told], ..turn(102.0) }, &mut Written::default());
+    steward.round(&Round { demand: vec![told], ..turn(103.5) }, &mut Written::default());
     assert_eq!((rate(&steward, 0), rate(&steward, 1)), (5.0, 2.0));
     // One that is never heard of has no traffic.
     steward.round(&turn(101.1 + UNHEARD), &mut Written::default());
     assert_eq!(rate(&steward, 1), 0.0);
 }
 
+#[test]
+fn reports_that_reach_back_to_before_a_slice_was_given_count_for_the_time_since() {
+    let mut steward = steward(terms());
+    let given = Charge { slice: SliceId(0), given: true, lines: vec![(host(1), 1.0)] };
+    steward.round(&Round { charges: vec![given], ..turn(110.0) }, &mut Written::default());
+    // Six operations came in the second that this report can tell of, not in five; of another slice it tells all.
+    let told = |k| DemandSum { slice: SliceId(k), class: ClassId(0), operations: 6.0, span: 5.0 };
+    steward.round(&Round { demand: vec![told(0), told(1)], ..turn(112.0) }, &mut Written::default());
+    let rate = |k: u16| steward.rate(&steward.slices[&SliceId(k)]);
+    assert!((rate(0) - 6.0).abs() < 1e-9 && (rate(1) - 1.2).abs() < 1e-9, "{} {}", rate(0), rate(1));
+    // The first report of a steward that has just started is no sign that the host had little in hand.
+    assert_eq!(covered(103.0, steward.charged_at, 5.0), 2.0);
+    assert_eq!(covered(100.3, steward.charged_at, 5.0), LEAST_SPAN);
+}
+
 #[test]
 fn a_draining_host_leaves_every_table_at_once_and_its_heir_comes_first() {
     let (steward_before, mut steward) = (steward(terms()), steward(terms()));
