Levels and further tries go by presumed demand too, and by none at all after a restart

Lines: set_levels (only what is heard counts, capacity all at once) and round (filled starts at 0). Change: presumed demand counts there as well; after a restart tries that may have run are not followed before demand is heard of. At a first start they are, as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -362,6 +362,8 @@
             if change.up {
                 // It missed orders, and a steward that has restarted does not know its own.
                 let restarted = !change.first && self.proxies.is_empty();
+                // Hosts may be near a jam: until demand is heard of, further tries get no room.
+                self.filled = if restarted && self.terms.levels_by_share { 1.0 } else { self.filled };
                 self.shut.extend(self.hosts.keys().filter(|_| restarted).map(|host| (*host, None)));
                 self.shut.values_mut().for_each(|state| *state = None);
             }
@@ -727,12 +729,18 @@
             return;
         }
         let speed = |load: &Load| load.capacity / load.service;
-        let offered = |k: usize| -> f64 { self.slices.values().map(|slice| slice.demand[k].read()).sum() };
+        let heard = |k: usize| -> f64 { self.slices.values().map(|slice| slice.demand[k].read()).sum() };
+        let all: f64 = (0..self.terms.classes.len()).map(heard).sum();
+        // What slices are presumed to bring falls on the classes as the rest does.
+        let presumed: f64 = self.slices.values().map(|slice| slice.presumed).sum();
+        let offered = |k: usize| heard(k) * (1.0 + presumed / all.max(0.01));
         let mut order: Vec<usize> = (0..self.terms.classes.len()).collect();
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let demand: f64 = (0..self.terms.classes.len()).map(offered).sum();
-        self.filled = demand / loads.values().map(speed).sum::<f64>().max(0.01);
+        if demand > 0.0 {
+            self.filled = demand / loads.values().map(speed).sum::<f64>().max(0.01);
+        }
         let mut room: f64 = loads.values().map(|load| load.fill.min(OVERLOAD) * speed(load)).sum();
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
