Levels rise by 0.1 a turn: after a surge fewer operations are refused for nothing

Ruled out: room (hosts nearly idle by then), wanted levels (they follow demand and are 1 again), calls (answered within 11 ms). Line: set_levels lets a level rise by LEVEL_RISE, 0.05 a turn, so that 0.4 takes twelve seconds back to 1.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -83,7 +83,7 @@
 const RETRY_ROOM: f64 = 0.5;
 /// Most a level falls (in seconds) or rises (slowly) in one turn, and the least change worth an order to all.
 const LEVEL_FALL: f64 = 0.3;
-const LEVEL_RISE: f64 = 0.05;
+const LEVEL_RISE: f64 = 0.1;
 const LEVEL_STEP: f64 = 0.02;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -418,6 +418,19 @@
     }
 }
 
+#[test]
+fn after_a_surge_all_are_let_in_again_within_seconds() {
+    let mut steward = steward(terms());
+    work(&mut steward, 101.0, 2.0, 0.1);
+    steward.levels[0] = 0.4;
+    let loads = steward.loads(101.0);
+    let turns = (1..20).find(|_| {
+        steward.set_levels(&loads);
+        steward.levels[0] == 1.0
+    });
+    assert!(turns.is_some_and(|turns| (4..=8).contains(&turns)), "{turns:?}");
+}
+
 #[test]
 fn slices_that_are_not_heard_of_yet_leave_no_room_for_further_tries() {
     // Eight operations a second for each of twelve slices, half of which have just come from another steward.
