--- a/src/brain.rs
+++ b/src/brain.rs
@@ -362,8 +362,6 @@
             if change.up {
                 // It missed orders, and a steward that has restarted does not know its own.
                 let restarted = !change.first && self.proxies.is_empty();
-                // Hosts may be near a jam: until demand is heard of, further tries get no room.
-                self.filled = if restarted && self.terms.levels_by_share { 1.0 } else { self.filled };
                 self.shut.extend(self.hosts.keys().filter(|_| restarted).map(|host| (*host, None)));
                 self.shut.values_mut().for_each(|state| *state = None);
             }
@@ -738,9 +736,7 @@
         let worth = |k: &usize| self.terms.classes[*k].gain / self.terms.classes[*k].contract_time.max(0.001);
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let demand: f64 = (0..self.terms.classes.len()).map(offered).sum();
-        if demand > 0.0 {
-            self.filled = demand / loads.values().map(speed).sum::<f64>().max(0.01);
-        }
+        self.filled = demand / loads.values().map(speed).sum::<f64>().max(0.01);
         let mut room: f64 = loads.values().map(|load| load.fill.min(OVERLOAD) * speed(load)).sum();
         for k in order {
             let wanted = if room >= offered(k) { 1.0 } else { room / offered(k) };
