--- a/crates/railhub-chaos/src/world.rs
+++ b/crates/railhub-chaos/src/world.rs
@@ -3,7 +3,8 @@
 use crate::faults::{Chaos, Fault, What};
 use railhub_membership::lease::{Fence, Holding};
 use railhub_membership::office::{Acts, Office, Seat, StoreAsk, StoreSays};
-use railhub_membership::swim::Message;
+use railhub_membership::swim::Manners;
+use railhub_membership::words::{Message, To};
 use railhub_membership::{Epoch, StewardId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -60,7 +61,7 @@
 enum Due {
     Tick { steward: u16, process: u64 },
     Orders { steward: u16, process: u64 },
-    Mail { from: u16, to: u16, message: Message },
+    Mail { to: u16, message: Message },
     Asked { steward: u16, ask: StoreAsk },
     Says { steward: u16, process: u64, says: StoreSays },
     Arrives { proxy: u16, order: Order, steward: u16 },
@@ -167,7 +168,8 @@
         let weights = (0..self.chaos.stewards).map(|id| (StewardId(id), 1.0)).collect();
         let seed = self.chance.random();
         let (slices, span) = (self.chaos.slices, self.chaos.span);
-        let seat = Seat { me: StewardId(id), process, weights: &weights, slices, span, seed };
+        let (card, manners) = (Default::default(), Manners::default());
+        let seat = Seat { me: StewardId(id), process, weights: &weights, card, manners, slices, span, seed };
         let speed = self.speeds.get(&id).copied().unwrap_or(1.0);
         let offset = self.chance.random::<f64>() * 1000.0;
         let office = Office::new(&seat, self.now * speed + offset);
@@ -218,13 +220,13 @@
                 Some(_) => self.orders(steward),
                 None => {}
             },
-            Due::Mail { from, to, message } => {
+            Due::Mail { to, message } => {
                 let Some(steward) = self.stewards.get(&to) else { return };
                 if steward.paused_until > self.now {
                     let wakes = steward.paused_until;
-                    return self.due(wakes, Due::Mail { from, to, message });
+                    return self.due(wakes, Due::Mail { to, message });
                 }
-                self.with_office(to, |office, now| office.hear(now, StewardId(from), &message));
+                self.with_office(to, |office, now| office.hear(now, &message));
             }
             Due::Asked { steward, ask } => self.asked(steward, &ask),
             Due::Says { steward, process, says } => match self.wakes(steward, process) {
@@ -254,9 +256,10 @@
 
     fn carry_out(&mut self, id: u16, acts: Acts) {
         for (to, message) in acts.mail {
+            let To::Steward(to) = to else { continue };
             let (lost, way) = (self.chance.random::<f64>() < self.chaos.lost, self.way());
             if !lost && !self.is_cut(id, to.0) {
-                self.due(self.now + way, Due::Mail { from: id, to: to.0, message });
+                self.due(self.now + way, Due::Mail { to: to.0, message });
             }
         }
         if let Some(ask) = acts.ask {
--- a/crates/railhub-ini/src/lib.rs
+++ b/crates/railhub-ini/src/lib.rs
@@ -87,6 +87,16 @@
         self.ini.sections().flatten().map(str::to_owned).collect()
     }
 
+    /// A digest of all sections and keys but those that are left out; order, blanks and comments do not count.
+    pub fn digest(&self, leave_out: impl Fn(&str, &str) -> bool) -> u64 {
+        let sections = self.ini.iter().filter_map(|(name, keys)| Some((name?, keys)));
+        let lines = sections.flat_map(|(name, keys)| keys.iter().map(move |(key, value)| (name, key, value)));
+        let lines: BTreeSet<_> = lines.filter(|(name, key, _)| !leave_out(name, key)).collect();
+        let text: String =
+            lines.into_iter().map(|(name, key, value)| format!("{name}\n{key}\n{value}\n")).collect();
+        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+    }
+
     /// Complains of a section whose name does not pass.
     pub fn only(&self, known: impl Fn(&str) -> bool) -> Result<(), Complaint> {
         if self.ini.general_section().iter().next().is_some() {
--- /dev/null
+++ b/crates/railhub-membership/src/entry.rs
@@ -0,0 +1,124 @@
+//! What is known of one steward. Its owner alone writes the card, under a life that only it raises; others can
+//! add nothing to an entry but a worse standing under the life they know. So any two words about a steward are in
+//! order, whoever brings them, and however late.
+use crate::StewardId;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Orders the words about a steward: the process that runs under its name, then how often that process has
+/// rewritten its entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Life {
+    pub process: u64,
+    pub count: u64,
+}
+
+/// From good to bad: of two standings under one life the later one here holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    #[default]
+    Alive,
+    Suspect,
+    /// It said that it goes.
+    Left,
+    Dead,
+    /// It was gone for so long that its entry was given up: its process is never believed again.
+    Forgotten,
+}
+
+impl Standing {
+    pub fn lives(self) -> bool {
+        self <= Standing::Suspect
+    }
+}
+
+/// What a steward tells of itself that seldom changes; each change comes under a higher count.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    /// Where it is reached.
+    pub address: Option<SocketAddr>,
+    /// Version of the program, and of the words between stewards.
+    pub program: String,
+    pub protocol: u32,
+    /// Digest of its settings.
+    pub settings: u64,
+    /// It hands its slices over and takes none.
+    pub drains: bool,
+}
+
+/// What a steward tells of itself with each message; nobody passes it on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Slices, and proxies that are joined.
+    pub slices: u32,
+    pub proxies: u32,
+    /// Share of a core that the process takes.
+    pub busy: f32,
+}
+
+/// One word about a steward.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub about: StewardId,
+    pub life: Life,
+    pub standing: Standing,
+    pub card: Card,
+    /// Who found it missing, where it is suspect or dead.
+    pub by: Option<StewardId>,
+}
+
+impl Entry {
+    pub fn alive(about: StewardId, process: u64, card: Card) -> Entry {
+        Entry { about, life: Life { process, count: 0 }, standing: Standing::Alive, card, by: None }
+    }
+
+    /// Whether this word says more than another about the same steward.
+    pub fn beats(&self, known: &Entry) -> bool {
+        (self.life, self.standing) > (known.life, known.standing)
+    }
+
+    /// The same for all that know the same; what changes all the time stays out of it.
+    pub fn digest(&self) -> u64 {
+        let mut sum = mix(u64::from(self.about.0) + 1);
+        for part in [self.life.process, self.card.settings, u64::from(self.card.protocol)] {
+            sum = mix(sum ^ part);
+        }
+        let text = self.card.program.bytes().map(u64::from);
+        let address = self.card.address.map(|address| address.to_string()).unwrap_or_default();
+        for byte in text.chain(address.bytes().map(u64::from)).chain([u64::from(self.card.drains)]) {
+            sum = mix(sum ^ byte);
+        }
+        sum
+    }
+}
+
+/// Steele, Lea and Flood's mixer (SplitMix, 2014): no seed, the same on each machine.
+pub(crate) fn mix(bits: u64) -> u64 {
+    let bits = bits.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_higher_process_beats_any_count_and_any_standing() {
+        let id = StewardId(3);
+        let old = Entry { standing: Standing::Dead, ..Entry::alive(id, 5, Card::default()) };
+        let old = Entry { life: Life { count: 900, ..old.life }, ..old };
+        let new = Entry::alive(id, 6, Card::default());
+        assert!(new.beats(&old) && !old.beats(&new));
+    }
+
+    #[test]
+    fn under_one_life_the_worse_holds_and_a_higher_count_refutes_it() {
+        let alive = Entry::alive(StewardId(3), 5, Card::default());
+        let dead = Entry { standing: Standing::Dead, ..alive.clone() };
+        let again = Entry { life: Life { process: 5, count: 1 }, ..alive.clone() };
+        assert!(dead.beats(&alive) && again.beats(&dead) && !alive.beats(&alive));
+    }
+}
--- a/crates/railhub-membership/src/office.rs
+++ b/crates/railhub-membership/src/office.rs
@@ -1,8 +1,10 @@
 //! One steward's part in sharing a fleet: it hears from the others and from the store, and says what to send, which
 //! slices it has gained and which it has lost. All that it may order it asks [`Office::may_order`], each time.
+use crate::entry::{Card, Entry, Load};
 use crate::lease::Leases;
 use crate::share::{heir, Sharing};
-use crate::swim::{Changed, Members, Message};
+use crate::swim::{Manners, Members};
+use crate::words::{Changed, Mail, Message};
 use crate::{Epoch, Seconds, StewardId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,7 +41,7 @@
 /// What follows from something heard.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Acts {
-    pub mail: Vec<(StewardId, Message)>,
+    pub mail: Mail,
     pub ask: Option<StoreAsk>,
     pub gained: Vec<(u16, Epoch)>,
     pub lost: Vec<u16>,
@@ -68,6 +70,8 @@
     pub process: u64,
     /// All stewards of the installation with what they can bear.
     pub weights: &'a BTreeMap<StewardId, f64>,
+    pub card: Card,
+    pub manners: Manners,
     pub slices: u16,
     /// Seconds that a lease is granted for.
     pub span: Seconds,
@@ -79,11 +83,14 @@
         let others: Vec<StewardId> = seat.weights.keys().copied().collect();
         let mut sharing = Sharing::new(seat.weights.clone());
         others.iter().for_each(|id| sharing.hear(now, *id, true));
+        let own = Entry::alive(seat.me, seat.process, seat.card.clone());
+        let mut members = Members::new(own, seat.manners.clone(), now, seat.seed);
+        members.expect(&others, now);
         Office {
             me: seat.me,
             process: seat.process,
             slices: seat.slices,
-            members: Members::new(seat.me, &others, seat.process, now, seat.seed),
+            members,
             sharing,
             leases: Leases::new(seat.span),
             number: 0,
@@ -114,14 +121,29 @@
         self.drains && self.leases.count() == 0
     }
 
-    pub fn hear(&mut self, now: Seconds, from: StewardId, message: &Message) -> Acts {
-        let (mail, changed) = self.members.hear(now, from, message);
+    /// Who lives, and what is known of them.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    pub fn set_load(&mut self, load: Load) {
+        self.members.set_load(load);
+    }
+
+    /// Tells the others that we go.
+    pub fn leave(&mut self, now: Seconds) -> Acts {
+        Acts { mail: self.members.leave(now), ..Acts::default() }
+    }
+
+    pub fn hear(&mut self, now: Seconds, message: &Message) -> Acts {
+        let (mail, changed) = self.members.hear(now, message);
         self.follow(now, &changed);
         Acts { mail, changed, ..Acts::default() }
     }
 
     fn follow(&mut self, now: Seconds, changed: &[Changed]) {
         for change in changed {
+            self.sharing.meet(change.about);
             self.sharing.hear(now, change.about, self.members.may_bear(change.about));
             self.sharing.drain(change.about, self.members.drains(change.about));
         }
--- /dev/null
+++ b/crates/railhub-membership/src/packet.rs
@@ -0,0 +1,562 @@
+//! Datagrams between stewards, and between a steward and one who looks at its view. A head tells version,
+//! installation and checksum, so that what is spoilt, foreign or of a version that nobody here speaks is dropped
+//! before anything of it is believed. Fields that a reader does not know are skipped (protocol buffers).
+//!
+//! Head: `RHF`, version (1 byte), CRC-32 of all that follows (4 bytes, big end first), length of the installation's
+//! name (1 byte), the name; then the body.
+use crate::entry::{Card, Entry, Life, Load, Standing};
+use crate::swim::Shown;
+use crate::words::{Ask, Line, Message, LINES_MOST, NEWS_MOST};
+use crate::StewardId;
+use prost::{Message as Wire, Oneof};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+const MAGIC: &[u8; 3] = b"RHF";
+/// Version of the words between stewards.
+pub const VERSION: u8 = 1;
+/// Bytes of a datagram at the most: one Ethernet frame, with room for what tunnels add.
+pub const BYTES_MOST: usize = 1400;
+/// Bytes of an installation's name, of a program's version and of an address at the most.
+pub const NAME_MOST: usize = 32;
+const PROGRAM_MOST: usize = 24;
+const ADDRESS_MOST: usize = 48;
+const HEAD: usize = 9;
+/// Lines of a view that one datagram shows.
+pub const SHOWN_MOST: usize = 8;
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    #[error("it is longer than {BYTES_MOST} bytes")]
+    Oversized,
+    #[error("it is spoilt, or no datagram of stewards")]
+    Spoilt,
+    #[error("it is of a version that is not spoken here")]
+    Version,
+    #[error("it is of another installation")]
+    Foreign,
+    #[error("its fields make no message")]
+    Malformed,
+}
+
+/// Dropped datagrams by cause.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Drops(pub BTreeMap<Fault, u64>);
+
+impl Drops {
+    pub fn count(&mut self, fault: Fault) {
+        *self.0.entry(fault).or_default() += 1;
+    }
+
+    pub fn all(&self) -> u64 {
+        self.0.values().sum()
+    }
+}
+
+/// Part of a steward's view.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    pub nonce: u64,
+    pub viewer: StewardId,
+    pub process: u64,
+    pub digest: u64,
+    pub lines: Vec<Shown>,
+    /// Where the next part begins, if there is one.
+    pub next: Option<StewardId>,
+    pub dropped: u64,
+    pub yielded: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Packet {
+    Words(Box<Message>),
+    /// Show your view from a steward on. The one who asks bears nothing and is never counted.
+    Look {
+        nonce: u64,
+        from: StewardId,
+    },
+    View(Box<View>),
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireLine {
+    #[prost(uint32, tag = "1")]
+    about: u32,
+    #[prost(uint64, tag = "2")]
+    process: u64,
+    #[prost(uint64, tag = "3")]
+    count: u64,
+    #[prost(uint32, tag = "4")]
+    standing: u32,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireEntry {
+    #[prost(message, required, tag = "1")]
+    line: WireLine,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(string, tag = "3")]
+    program: String,
+    #[prost(uint32, tag = "4")]
+    protocol: u32,
+    #[prost(fixed64, tag = "5")]
+    settings: u64,
+    #[prost(bool, tag = "6")]
+    drains: bool,
+    #[prost(uint32, optional, tag = "7")]
+    by: Option<u32>,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireLoad {
+    #[prost(uint32, tag = "1")]
+    slices: u32,
+    #[prost(uint32, tag = "2")]
+    proxies: u32,
+    #[prost(float, tag = "3")]
+    busy: f32,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireCompare {
+    #[prost(uint32, tag = "1")]
+    from: u32,
+    #[prost(uint32, tag = "2")]
+    to: u32,
+    #[prost(message, repeated, tag = "3")]
+    lines: Vec<WireLine>,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireIds {
+    #[prost(uint32, repeated, tag = "1")]
+    ids: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct Nothing {}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum WireAsk {
+    #[prost(message, tag = "10")]
+    Probe(Nothing),
+    #[prost(uint32, tag = "11")]
+    ProbeFor(u32),
+    #[prost(message, tag = "12")]
+    Answer(Nothing),
+    #[prost(uint32, tag = "13")]
+    AnswerOf(u32),
+    #[prost(uint32, tag = "14")]
+    NoAnswerOf(u32),
+    #[prost(message, tag = "15")]
+    Compare(WireCompare),
+    #[prost(message, tag = "16")]
+    Want(WireIds),
+    #[prost(message, tag = "17")]
+    Tell(Nothing),
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireMessage {
+    #[prost(message, required, tag = "1")]
+    from: WireEntry,
+    #[prost(uint64, tag = "2")]
+    turn: u64,
+    #[prost(message, required, tag = "3")]
+    load: WireLoad,
+    #[prost(uint64, tag = "4")]
+    number: u64,
+    #[prost(message, repeated, tag = "5")]
+    news: Vec<WireEntry>,
+    #[prost(uint32, optional, tag = "6")]
+    names: Option<u32>,
+    #[prost(fixed64, tag = "7")]
+    digest: u64,
+    #[prost(oneof = "WireAsk", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
+    ask: Option<WireAsk>,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireLook {
+    #[prost(uint64, tag = "1")]
+    nonce: u64,
+    #[prost(uint32, tag = "2")]
+    from: u32,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireShown {
+    #[prost(message, required, tag = "1")]
+    entry: WireEntry,
+    #[prost(message, required, tag = "2")]
+    load: WireLoad,
+    #[prost(double, tag = "3")]
+    stands_for: f64,
+    #[prost(double, tag = "4")]
+    heard_ago: f64,
+    #[prost(bool, tag = "5")]
+    withdrawn: bool,
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireView {
+    #[prost(uint64, tag = "1")]
+    nonce: u64,
+    #[prost(uint32, tag = "2")]
+    viewer: u32,
+    #[prost(uint64, tag = "3")]
+    process: u64,
+    #[prost(fixed64, tag = "4")]
+    digest: u64,
+    #[prost(message, repeated, tag = "5")]
+    lines: Vec<WireShown>,
+    #[prost(uint32, optional, tag = "6")]
+    next: Option<u32>,
+    #[prost(uint64, tag = "7")]
+    dropped: u64,
+    #[prost(bool, tag = "8")]
+    yielded: bool,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum Body {
+    #[prost(message, tag = "1")]
+    Words(WireMessage),
+    #[prost(message, tag = "2")]
+    Look(WireLook),
+    #[prost(message, tag = "3")]
+    View(WireView),
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WirePacket {
+    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    body: Option<Body>,
+}
+
+/// A datagram; it may come out longer than [`BYTES_MOST`] only if cards are, which [`Card`]s read from a file and
+/// from other datagrams are not.
+pub fn encode(installation: &str, packet: &Packet) -> Vec<u8> {
+    let body = match packet {
+        Packet::Words(message) => Body::Words(wire_message(message)),
+        Packet::Look { nonce, from } => Body::Look(WireLook { nonce: *nonce, from: from.0.into() }),
+        Packet::View(view) => Body::View(wire_view(view)),
+    };
+    let name = &installation.as_bytes()[..installation.len().min(NAME_MOST)];
+    let mut rest = vec![name.len() as u8];
+    rest.extend_from_slice(name);
+    rest.extend(WirePacket { body: Some(body) }.encode_to_vec());
+    let mut bytes = Vec::with_capacity(HEAD + rest.len());
+    bytes.extend_from_slice(MAGIC);
+    bytes.push(VERSION);
+    bytes.extend_from_slice(&crc32fast::hash(&rest).to_be_bytes());
+    bytes.extend(rest);
+    bytes
+}
+
+/// What a datagram says.
+///
+/// # Errors
+/// The cause to drop and count it under.
+pub fn decode(installation: &str, bytes: &[u8]) -> Result<Packet, Fault> {
+    if bytes.len() > BYTES_MOST {
+        return Err(Fault::Oversized);
+    }
+    if bytes.len() < HEAD || &bytes[..3] != MAGIC {
+        return Err(Fault::Spoilt);
+    }
+    if bytes[3] != VERSION {
+        return Err(Fault::Version);
+    }
+    let sum = u32::from_be_bytes([bytes[4], bytes[5], bytes[6], bytes[7]]);
+    if crc32fast::hash(&bytes[8..]) != sum {
+        return Err(Fault::Spoilt);
+    }
+    let length = usize::from(bytes[8]);
+    let body = bytes.get(HEAD + length..).ok_or(Fault::Spoilt)?;
+    if &bytes[HEAD..HEAD + length] != installation.as_bytes() {
+        return Err(Fault::Foreign);
+    }
+    let packet = WirePacket::decode(body).map_err(|_| Fault::Malformed)?;
+    match packet.body.ok_or(Fault::Malformed)? {
+        Body::Words(message) => Ok(Packet::Words(Box::new(read_message(message)?))),
+        Body::Look(look) => Ok(Packet::Look { nonce: look.nonce, from: id(look.from)? }),
+        Body::View(view) => Ok(Packet::View(Box::new(read_view(view)?))),
+    }
+}
+
+fn id(number: u32) -> Result<StewardId, Fault> {
+    u16::try_from(number).map(StewardId).map_err(|_| Fault::Malformed)
+}
+
+fn wire_line(about: StewardId, life: Life, standing: Standing) -> WireLine {
+    WireLine { about: about.0.into(), process: life.process, count: life.count, standing: standing as u32 }
+}
+
+fn read_line(line: &WireLine) -> Result<Line, Fault> {
+    let standings = [Standing::Alive, Standing::Suspect, Standing::Left, Standing::Dead, Standing::Forgotten];
+    let standing = standings.get(line.standing as usize).copied().ok_or(Fault::Malformed)?;
+    // A life at the very end could not be refuted: nothing is above it.
+    if line.count == u64::MAX || line.process == u64::MAX {
+        return Err(Fault::Malformed);
+    }
+    let life = Life { process: line.process, count: line.count };
+    Ok(Line { about: id(line.about)?, life, standing })
+}
+
+fn wire_entry(entry: &Entry) -> WireEntry {
+    WireEntry {
+        line: wire_line(entry.about, entry.life, entry.standing),
+        address: entry.card.address.map(|address| address.to_string()).unwrap_or_default(),
+        program: entry.card.program.chars().take(PROGRAM_MOST).collect(),
+        protocol: entry.card.protocol,
+        settings: entry.card.settings,
+        drains: entry.card.drains,
+        by: entry.by.map(|by| by.0.into()),
+    }
+}
+
+fn read_entry(entry: WireEntry) -> Result<Entry, Fault> {
+    let line = read_line(&entry.line)?;
+    if entry.address.len() > ADDRESS_MOST || entry.program.len() > PROGRAM_MOST {
+        return Err(Fault::Malformed);
+    }
+    let address: Option<SocketAddr> = match entry.address.as_str() {
+        "" => None,
+        text => Some(text.parse().map_err(|_| Fault::Malformed)?),
+    };
+    let card = Card {
+        address,
+        program: entry.program,
+        protocol: entry.protocol,
+        settings: entry.settings,
+        drains: entry.drains,
+    };
+    let by = entry.by.map(id).transpose()?;
+    Ok(Entry { about: line.about, life: line.life, standing: line.standing, card, by })
+}
+
+fn wire_load(load: &Load) -> WireLoad {
+    WireLoad { slices: load.slices, proxies: load.proxies, busy: load.busy }
+}
+
+fn read_load(load: &WireLoad) -> Result<Load, Fault> {
+    let is_share = load.busy.is_finite() && load.busy >= 0.0;
+    is_share
+        .then_some(Load { slices: load.slices, proxies: load.proxies, busy: load.busy })
+        .ok_or(Fault::Malformed)
+}
+
+fn wire_message(message: &Message) -> WireMessage {
+    let ask = match &message.ask {
+        Ask::Probe => WireAsk::Probe(Nothing {}),
+        Ask::ProbeFor(id) => WireAsk::ProbeFor(id.0.into()),
+        Ask::Answer => WireAsk::Answer(Nothing {}),
+        Ask::AnswerOf(id) => WireAsk::AnswerOf(id.0.into()),
+        Ask::NoAnswerOf(id) => WireAsk::NoAnswerOf(id.0.into()),
+        Ask::Compare { from, to, lines } => WireAsk::Compare(WireCompare {
+            from: from.0.into(),
+            to: to.0.into(),
+            lines: lines.iter().map(|line| wire_line(line.about, line.life, line.standing)).collect(),
+        }),
+        Ask::Want(ids) => WireAsk::Want(WireIds { ids: ids.iter().map(|id| id.0.into()).collect() }),
+        Ask::Tell => WireAsk::Tell(Nothing {}),
+    };
+    WireMessage {
+        from: wire_entry(&message.from),
+        turn: message.turn,
+        load: wire_load(&message.load),
+        number: message.number,
+        news: message.news.iter().map(wire_entry).collect(),
+        names: message.names.map(|id| id.0.into()),
+        digest: message.digest,
+        ask: Some(ask),
+    }
+}
+
+fn read_message(message: WireMessage) -> Result<Message, Fault> {
+    if message.news.len() > NEWS_MOST + 1 {
+        return Err(Fault::Malformed);
+    }
+    let from = read_entry(message.from)?;
+    // Nobody says of itself that it is suspect or dead.
+    if !matches!(from.standing, Standing::Alive | Standing::Left) {
+        return Err(Fault::Malformed);
+    }
+    // A kind of question that a later version asks is no reason to lose what else the message says.
+    let ask = message.ask.map_or(Ok(Ask::Tell), read_ask)?;
+    Ok(Message {
+        from,
+        turn: message.turn,
+        load: read_load(&message.load)?,
+        number: message.number,
+        ask,
+        news: message.news.into_iter().map(read_entry).collect::<Result<_, _>>()?,
+        names: message.names.map(id).transpose()?,
+        digest: message.digest,
+    })
+}
+
+fn read_ask(ask: WireAsk) -> Result<Ask, Fault> {
+    Ok(match ask {
+        WireAsk::Probe(_) => Ask::Probe,
+        WireAsk::ProbeFor(of) => Ask::ProbeFor(id(of)?),
+        WireAsk::Answer(_) => Ask::Answer,
+        WireAsk::AnswerOf(of) => Ask::AnswerOf(id(of)?),
+        WireAsk::NoAnswerOf(of) => Ask::NoAnswerOf(id(of)?),
+        WireAsk::Compare(compare) => {
+            if compare.lines.len() > LINES_MOST {
+                return Err(Fault::Malformed);
+            }
+            let lines = compare.lines.iter().map(read_line).collect::<Result<_, _>>()?;
+            Ask::Compare { from: id(compare.from)?, to: id(compare.to)?, lines }
+        }
+        WireAsk::Want(want) => {
+            if want.ids.len() > LINES_MOST {
+                return Err(Fault::Malformed);
+            }
+            Ask::Want(want.ids.into_iter().map(id).collect::<Result<_, _>>()?)
+        }
+        WireAsk::Tell(_) => Ask::Tell,
+    })
+}
+
+fn wire_view(view: &View) -> WireView {
+    let line = |line: &Shown| WireShown {
+        entry: wire_entry(&line.entry),
+        load: wire_load(&line.load),
+        stands_for: line.stands_for,
+        heard_ago: if line.heard_ago.is_finite() { line.heard_ago } else { -1.0 },
+        withdrawn: line.withdrawn,
+    };
+    WireView {
+        nonce: view.nonce,
+        viewer: view.viewer.0.into(),
+        process: view.process,
+        digest: view.digest,
+        lines: view.lines.iter().map(line).collect(),
+        next: view.next.map(|id| id.0.into()),
+        dropped: view.dropped,
+        yielded: view.yielded,
+    }
+}
+
+fn read_view(view: WireView) -> Result<View, Fault> {
+    let line = |line: WireShown| {
+        Ok(Shown {
+            entry: read_entry(line.entry)?,
+            load: read_load(&line.load)?,
+            stands_for: line.stands_for,
+            heard_ago: if line.heard_ago < 0.0 { f64::INFINITY } else { line.heard_ago },
+            withdrawn: line.withdrawn,
+        })
+    };
+    if view.lines.len() > SHOWN_MOST {
+        return Err(Fault::Malformed);
+    }
+    Ok(View {
+        nonce: view.nonce,
+        viewer: id(view.viewer)?,
+        process: view.process,
+        digest: view.digest,
+        lines: view.lines.into_iter().map(line).collect::<Result<_, _>>()?,
+        next: view.next.map(id).transpose()?,
+        dropped: view.dropped,
+        yielded: view.yielded,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn longest() -> Entry {
+        let card = Card {
+            address: Some("[1111:2222:3333:4444:5555:6666:7777:8888]:65535".parse().expect("an address")),
+            program: "9".repeat(PROGRAM_MOST),
+            protocol: u32::MAX,
+            settings: u64::MAX,
+            drains: true,
+        };
+        let life = Life { process: u64::MAX - 1, count: u64::MAX - 1 };
+        let by = Some(StewardId(u16::MAX));
+        Entry { about: StewardId(u16::MAX), life, standing: Standing::Alive, card, by }
+    }
+
+    fn message(ask: Ask, news: usize) -> Packet {
+        let load = Load { slices: u32::MAX, proxies: u32::MAX, busy: 1.0 };
+        let (news, names) = (vec![longest(); news], Some(StewardId(u16::MAX)));
+        let (from, max) = (longest(), u64::MAX);
+        Packet::Words(Box::new(Message { from, turn: max, load, number: max, ask, news, names, digest: max }))
+    }
+
+    #[test]
+    fn the_fullest_messages_fit_in_a_datagram_and_come_back_as_they_were() {
+        let ids = vec![StewardId(u16::MAX); LINES_MOST];
+        let line = Line { about: ids[0], life: longest().life, standing: Standing::Dead };
+        let lines = vec![line; LINES_MOST];
+        let compare = Ask::Compare { from: StewardId(0), to: StewardId(u16::MAX), lines };
+        let shown = Shown {
+            entry: longest(),
+            load: Load::default(),
+            stands_for: 1e9,
+            heard_ago: 1.0,
+            withdrawn: true,
+        };
+        let view = View {
+            nonce: u64::MAX,
+            viewer: ids[0],
+            process: u64::MAX,
+            digest: u64::MAX,
+            lines: vec![shown; SHOWN_MOST],
+            next: Some(ids[0]),
+            dropped: u64::MAX,
+            yielded: true,
+        };
+        let all = [
+            message(Ask::Want(ids), NEWS_MOST),
+            message(compare, 0),
+            Packet::Look { nonce: 7, from: StewardId(9) },
+            Packet::View(Box::new(view)),
+        ];
+        for packet in all {
+            let bytes = encode(&"n".repeat(NAME_MOST), &packet);
+            assert!(bytes.len() <= BYTES_MOST, "{} bytes: {packet:?}", bytes.len());
+            assert_eq!(decode(&"n".repeat(NAME_MOST), &bytes), Ok(packet));
+        }
+    }
+
+    #[test]
+    fn what_is_foreign_older_spoilt_or_oversized_is_told_apart() {
+        let bytes = encode("here", &message(Ask::Probe, 1));
+        assert_eq!(decode("there", &bytes), Err(Fault::Foreign));
+        assert_eq!(decode("here", &bytes[..bytes.len() - 1]), Err(Fault::Spoilt));
+        assert_eq!(decode("here", &[0; BYTES_MOST + 1]), Err(Fault::Oversized));
+        let mut older = bytes.clone();
+        older[3] = 0;
+        assert_eq!(decode("here", &older), Err(Fault::Version));
+        let mut spoilt = bytes;
+        let last = spoilt.len() - 1;
+        spoilt[last] ^= 1;
+        assert_eq!(decode("here", &spoilt), Err(Fault::Spoilt));
+    }
+
+    proptest! {
+        #[test]
+        fn no_bytes_make_the_reader_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+            let mut rest = vec![1, b'x'];
+            rest.extend(&bytes);
+            let mut framed = MAGIC.to_vec();
+            framed.push(VERSION);
+            framed.extend(crc32fast::hash(&rest).to_be_bytes());
+            framed.extend(rest);
+            let _ = (decode("x", &bytes), decode("x", &framed));
+        }
+    }
+}
--- a/crates/railhub-membership/src/share.rs
+++ b/crates/railhub-membership/src/share.rs
@@ -68,6 +68,11 @@
         Sharing { weights, ..Sharing::default() }
     }
 
+    /// One that the file did not name bears as much as any other.
+    pub fn meet(&mut self, id: StewardId) {
+        self.weights.entry(id).or_insert(1.0);
+    }
+
     /// What membership says of a steward.
     pub fn hear(&mut self, now: Seconds, id: StewardId, lives: bool) {
         let past = self.past.entry(id).or_default();
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -1,226 +1,290 @@
 //! Who lives. Each steward probes one other at a time (SWIM: Das, Gupta, Motivala 2002); one that does not answer
-//! is asked for through others, then suspected, then held for dead unless it says otherwise under a higher
-//! incarnation. What is learnt rides along with probes, so each steward's cost does not grow with their number.
+//! is asked for through others, then suspected, then held for dead unless it says otherwise under a higher count.
+//! What is learnt rides along with probes, so each steward's cost does not grow with their number. Beside that,
+//! views are compared and what differs is sent; the dead are asked again at a falling rate; and a steward that
+//! fares badly itself waits longer before it blames anyone (Lifeguard, 2017).
 //!
-//! A *slow* steward answers, only late: suspicion never gets to its end. So late and missing answers are also
-//! scored as the project scores hosts (up at once, down step by step), each steward names the one that stands
-//! out, and one that most of the others name is withdrawn: it lives, and bears no slices. Each names one at the
-//! most, so at most one can be named by most.
+//! A *slow* steward is scored ([`crate::score`]): each steward names the one that stands out, and one that most of
+//! the others name is withdrawn: it lives, and bears no slices. Each names one at the most, so at most one can be
+//! named by most.
+use crate::entry::{Entry, Life, Load, Standing};
+use crate::health::Health;
+use crate::rumours::Rumours;
+use crate::score::{Answers, GAP, LATE_LEAST};
+use crate::table::{Defence, Learnt, Table};
+use crate::words::{Ask, Changed, Mail, Message, To, LINES_MOST, NEWS_MOST};
 use crate::{Seconds, StewardId};
 use rand::seq::{IndexedRandom, SliceRandom};
-use rand::{Rng, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// Seconds between two probes of ours.
 const PERIOD: Seconds = 0.2;
-/// Times the usual time of an answer, and seconds at the least, after which a direct probe is asked for through
-/// others. Loopback and one machine room answer in a millisecond, a busy steward in some ten.
-const LATE_TIMES: f64 = 8.0;
-const LATE_LEAST: Seconds = 0.08;
-/// Seconds from a probe until its target is suspected: direct and indirect answers both had time.
+/// Seconds from a probe until its target is suspected: direct and indirect answers both had time. A helper says
+/// after half of it that it had no answer either.
 const PROBE_ENDS: Seconds = 0.4;
 /// Probes that are out at once: past it others' are not made, and they learn nothing from us.
 const OUT_MOST: usize = 64;
 /// Others that are asked to probe.
 const THROUGH: usize = 3;
 /// Seconds a suspicion stands before it is held for certain, times the logarithm of the stewards' number: long
-/// enough for the word to come round and back.
+/// enough for the word to come round and back. Without a second accuser so many times longer, and how many make it
+/// certain.
 const SUSPECTED_FOR: Seconds = 1.0;
-/// Words of news a probe carries, and times that each is passed on, times the logarithm of the number.
-const NEWS_MOST: usize = 8;
-const PASSED_ON: f64 = 3.0;
-/// Seconds after which an answer time counts for 1/e in the usual one.
-const MEMORY: Seconds = 10.0;
-/// Score of one that does badly at once, steps down a second while it does well, and how far it must stand above
-/// the next to be named: the design's figures for hosts.
-const SCORE_MOST: f64 = 100.0;
-const SCORE_FALLS: f64 = 8.0;
-const GAP: f64 = 30.0;
-/// Share of probes that end late or not at all from which on one does badly.
-const BADLY: f64 = 0.3;
-/// Probes that this share is taken over: decaying, so that one lost message does not make a slow steward.
-const PROBES: f64 = 6.0;
+const ALONE_LONGER: f64 = 3.0;
+const ACCUSERS: usize = 2;
+/// Seconds after a word of its own in which nobody is held for dead because others say so.
+const HEARD_LATELY: Seconds = 1.0;
+/// Seconds until a dead one is asked again: at first, then doubled each time up to the most.
+const ASK_DEAD: Seconds = 0.5;
+const ASK_DEAD_MOST: Seconds = 8.0;
+/// Seconds between two comparisons that we begin.
+const COMPARE_EVERY: Seconds = 0.3;
+/// Seconds between two looks for someone to join while nobody is known to live: at first, then half as much more each
+/// time up to the most; and between two looks at an address of the file while others live, so that two halves that
+/// have forgotten each other still meet.
+const SEEK: Seconds = 0.3;
+const SEEK_MOST: Seconds = 3.0;
+const SEEK_SLOWLY: Seconds = 20.0;
+/// Seconds in which a process of our name with a higher number must speak, or it is one of our past.
+const CLAIM_FOR: Seconds = 2.0;
 /// Seconds that another's word on who stands out counts.
 const NAMED_FOR: Seconds = 5.0;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Standing {
-    Alive,
-    Suspect,
-    /// It said that it goes.
-    Left,
-    Dead,
+/// What the file says of membership.
+#[derive(Clone, Debug)]
+pub struct Manners {
+    /// Addresses that may know someone, tried while nobody is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Seconds after which one that is gone is forgotten.
+    pub forget_after: Seconds,
+    /// A defence that is left out.
+    pub without: Option<Defence>,
 }
 
-/// What is told of a steward. Of two words under one incarnation the worse holds; a higher one overrides.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
-    pub about: StewardId,
-    pub incarnation: u64,
-    pub standing: Standing,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Ask {
-    Probe,
-    /// Probe another for me.
-    ProbeFor(StewardId),
-    Answer,
-    /// The one I was asked to probe has answered.
-    AnswerOf(StewardId),
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    pub number: u64,
-    pub ask: Ask,
-    pub news: Vec<News>,
-    /// Whom the sender finds to stand out.
-    pub names: Option<StewardId>,
-    /// The sender hands its slices over and takes none.
-    pub drains: bool,
-}
-
-/// Something that operators and the sharing of slices want to know.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Changed {
-    pub about: StewardId,
-    pub standing: Standing,
-    pub withdrawn: bool,
-    pub why: String,
+impl Default for Manners {
+    fn default() -> Manners {
+        Manners { seeds: Vec::new(), forget_after: 600.0, without: None }
+    }
 }
 
+/// How one other steward is watched.
+#[derive(Clone, Debug)]
 struct Peer {
-    incarnation: u64,
-    standing: Standing,
     since: Seconds,
+    /// When its own word came last, and the turn that it bore.
+    heard_at: Seconds,
+    turn: u64,
+    load: Load,
     withdrawn: bool,
-    drains: bool,
-    usual: Usual,
-    /// Share of probes that went badly, and the score that it drives.
-    badly: f64,
-    score: f64,
-    scored_at: Seconds,
+    answers: Answers,
     /// Whom it names, and since when.
     names: Option<(StewardId, Seconds)>,
+    accusers: BTreeSet<StewardId>,
+    ask_at: Seconds,
+    ask_span: Seconds,
 }
 
-/// The usual time of an answer: decaying sums.
-#[derive(Clone, Copy, Default)]
-struct Usual {
-    count: f64,
-    time: f64,
-    at: Seconds,
-}
-
-impl Usual {
-    fn add(&mut self, now: Seconds, time: Seconds) {
-        let left = (-(now - self.at).max(0.0) / MEMORY).exp();
-        (self.count, self.time, self.at) = (self.count * left + 1.0, self.time * left + time, now);
-    }
-
-    fn late_after(&self) -> Seconds {
-        let mean = if self.count > 0.0 { self.time / self.count } else { 0.0 };
-        (mean * LATE_TIMES).clamp(LATE_LEAST, PROBE_ENDS / 2.0)
+impl Peer {
+    fn new(now: Seconds) -> Peer {
+        Peer {
+            since: now,
+            heard_at: f64::NEG_INFINITY,
+            turn: 0,
+            load: Load::default(),
+            withdrawn: false,
+            answers: Answers::since(now),
+            names: None,
+            accusers: BTreeSet::new(),
+            ask_at: now + ASK_DEAD,
+            ask_span: ASK_DEAD,
+        }
     }
 }
 
 /// A probe that is out.
+#[derive(Clone, Debug)]
 struct Out {
     number: u64,
     to: StewardId,
     at: Seconds,
     through: bool,
+    /// Helpers that were asked, and whether one had a word.
+    helpers: usize,
+    helped: bool,
     /// On whose behalf, with their number.
     behalf: Option<(StewardId, u64)>,
 }
 
+/// One line of a view, for those who look at it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    pub entry: Entry,
+    pub load: Load,
+    /// Seconds since it stands so, and since its own word came; none has come where this is infinite.
+    pub stands_for: Seconds,
+    pub heard_ago: Seconds,
+    pub withdrawn: bool,
+}
+
+#[derive(Clone, Debug)]
 pub struct Members {
-    me: StewardId,
-    incarnation: u64,
+    table: Table,
+    manners: Manners,
     peers: BTreeMap<StewardId, Peer>,
     order: Vec<StewardId>,
     out: Vec<Out>,
-    news: VecDeque<(News, u32)>,
+    rumours: Rumours,
+    health: Health,
+    load: Load,
+    began: Seconds,
     number: u64,
+    turn: u64,
     probes_at: Seconds,
     ticked_at: Seconds,
-    drains: bool,
+    compare_at: Seconds,
+    compare_from: StewardId,
+    seek_at: Seconds,
+    seek_span: Seconds,
+    /// A process of our name with a higher number that was spoken of, and since when.
+    claim: Option<(u64, Seconds)>,
+    yielded: bool,
+    refused: u64,
     chance: ChaCha8Rng,
-    sent: u64,
 }
 
-type Mail = Vec<(StewardId, Message)>;
-
 impl Members {
-    /// `incarnation`: higher than that of any earlier process of ours. Others count as alive until they prove
-    /// not to be: a steward that starts must not take what others hold.
-    pub fn new(me: StewardId, others: &[StewardId], incarnation: u64, now: Seconds, seed: u64) -> Members {
-        let peer = || Peer {
-            incarnation: 0,
-            standing: Standing::Alive,
-            since: now,
-            withdrawn: false,
-            drains: false,
-            usual: Usual::default(),
-            badly: 0.0,
-            score: 0.0,
-            scored_at: now,
-            names: None,
-        };
-        let news = VecDeque::from([(News { about: me, incarnation, standing: Standing::Alive }, 0)]);
+    /// `me`: under a process number that is higher than that of any earlier process of ours, as far as is known.
+    pub fn new(me: Entry, manners: Manners, now: Seconds, seed: u64) -> Members {
+        let chance = ChaCha8Rng::seed_from_u64(seed ^ u64::from(me.about.0));
+        let mut rumours = Rumours::default();
+        rumours.tell_first(me.clone());
         Members {
-            me,
-            incarnation,
-            peers: others.iter().filter(|id| **id != me).map(|id| (*id, peer())).collect(),
+            table: Table::new(me, manners.without),
+            manners,
+            peers: BTreeMap::new(),
             order: Vec::new(),
             out: Vec::new(),
-            news,
+            rumours,
+            health: Health::default(),
+            load: Load::default(),
+            began: now,
             number: 0,
+            turn: 0,
             probes_at: now,
             ticked_at: now,
-            drains: false,
-            chance: ChaCha8Rng::seed_from_u64(seed ^ u64::from(me.0)),
-            sent: 0,
+            compare_at: now,
+            compare_from: StewardId(0),
+            seek_at: now,
+            seek_span: SEEK,
+            claim: None,
+            yielded: false,
+            refused: 0,
+            chance,
         }
     }
 
+    /// Others that the installation names count as alive until they prove not to be: a steward that starts must
+    /// not take what others hold.
+    pub fn expect(&mut self, others: &[StewardId], now: Seconds) {
+        let me = self.me();
+        for id in others.iter().filter(|id| **id != me) {
+            let word = Entry::alive(*id, 0, Default::default());
+            if let Learnt::News { .. } = self.table.learn(&word, false) {
+                self.peers.insert(*id, Peer::new(now));
+            }
+        }
+    }
+
+    pub fn me(&self) -> StewardId {
+        self.table.me().about
+    }
+
+    pub fn entry(&self) -> &Entry {
+        self.table.me()
+    }
+
     pub fn standing(&self, id: StewardId) -> Standing {
-        self.peers.get(&id).map_or(Standing::Alive, |peer| peer.standing)
+        self.table.get(id).map_or(Standing::Forgotten, |entry| entry.standing)
+    }
+
+    pub fn address(&self, id: StewardId) -> Option<SocketAddr> {
+        self.table.get(id).and_then(|entry| entry.card.address)
+    }
+
+    /// Another process with our name and a higher number lives: we take no part any more.
+    pub fn has_yielded(&self) -> bool {
+        self.yielded
+    }
+
+    /// Digest of our view: the same for all that hold the same to live.
+    pub fn digest(&self) -> u64 {
+        self.table.digest()
+    }
+
+    /// Words about stewards for whom there was no room.
+    pub fn refused(&self) -> u64 {
+        self.refused
     }
 
     /// It may bear slices, as far as we know; a suspect still does: taking what it holds is no hurry before it is
     /// held for dead, and not possible before its leases end.
     pub fn may_bear(&self, id: StewardId) -> bool {
-        let stands =
-            |peer: &Peer| matches!(peer.standing, Standing::Alive | Standing::Suspect) && !peer.withdrawn;
-        if id == self.me {
+        if id == self.me() {
             !self.is_named(id, self.ticked_at)
         } else {
-            self.peers.get(&id).is_some_and(stands)
+            self.standing(id).lives() && !self.peers.get(&id).is_some_and(|peer| peer.withdrawn)
         }
     }
 
     pub fn alive(&self) -> usize {
-        let lives = |peer: &&Peer| matches!(peer.standing, Standing::Alive | Standing::Suspect);
-        1 + self.peers.values().filter(lives).count()
+        1 + self.living().count()
     }
 
-    /// We hand our slices over; the others learn of it with the next message to each.
+    fn living(&self) -> impl Iterator<Item = StewardId> + '_ {
+        self.table.others().filter(|entry| entry.standing.lives()).map(|entry| entry.about)
+    }
+
+    /// We hand our slices over; the others learn of it.
     pub fn drain(&mut self) {
-        self.drains = true;
+        self.table.rewrite(|card| card.drains = true);
+        self.rumours.tell_first(self.table.me().clone());
     }
 
     /// It hands its slices over, and says so.
     pub fn drains(&self, id: StewardId) -> bool {
-        (id == self.me && self.drains) || self.peers.get(&id).is_some_and(|peer| peer.drains)
+        self.table.get(id).is_some_and(|entry| entry.card.drains)
+    }
+
+    pub fn set_load(&mut self, load: Load) {
+        self.load = load;
     }
 
     /// Messages sent so far.
     pub fn sent(&self) -> u64 {
-        self.sent
+        self.turn
+    }
+
+    /// Our view, ourselves included, in the order of ids.
+    pub fn shown(&self, now: Seconds) -> Vec<Shown> {
+        let mine = Shown {
+            entry: self.table.me().clone(),
+            load: self.load,
+            stands_for: now - self.began,
+            heard_ago: 0.0,
+            withdrawn: !self.may_bear(self.me()),
+        };
+        let others = self.table.others().filter_map(|entry| {
+            let peer = self.peers.get(&entry.about)?;
+            let (load, withdrawn) = (peer.load, peer.withdrawn);
+            let (stands_for, heard_ago) = (now - peer.since, now - peer.heard_at);
+            Some(Shown { entry: entry.clone(), load, stands_for, heard_ago, withdrawn })
+        });
+        let mut all: Vec<Shown> = others.chain([mine]).collect();
+        all.sort_by_key(|shown| shown.entry.about);
+        all
     }
 
     /// When [`Members::tick`] wants to be called next.
@@ -229,183 +293,367 @@
         ends.fold(self.probes_at, f64::min).min(self.ticked_at + PERIOD).max(self.ticked_at + 0.01)
     }
 
-    /// News that goes before all other. Of each steward one word waits, the latest: whoever asks, and however
-    /// often, the list has no more words than there are stewards.
-    fn tell_first(&mut self, news: News) {
-        self.news.retain(|(known, _)| known.about != news.about);
-        self.news.push_front((news, 0));
+    fn patience(&self) -> f64 {
+        if self.table.lacks(Defence::OwnTrouble) {
+            1.0
+        } else {
+            self.health.patience()
+        }
     }
 
-    fn message(&mut self, number: u64, ask: Ask, now: Seconds) -> Message {
-        let limit = (PASSED_ON * ((self.peers.len() + 1) as f64).ln().max(1.0)).ceil() as u32;
-        let mut news = Vec::new();
-        for _ in 0..self.news.len().min(NEWS_MOST) {
-            if let Some((one, passed)) = self.news.pop_front() {
-                news.push(one);
-                if passed + 1 < limit {
-                    self.news.push_back((one, passed + 1));
-                }
-            }
+    fn message(&mut self, number: u64, ask: Ask, first: Vec<Entry>) -> Message {
+        let endless = self.table.lacks(Defence::RumourBound);
+        // A comparison fills its datagram by itself.
+        let room = if matches!(ask, Ask::Compare { .. }) { 0 } else { NEWS_MOST.saturating_sub(first.len()) };
+        let mut news = first;
+        news.extend(self.rumours.take(room, self.peers.len() + 1, endless));
+        self.turn += 1;
+        Message {
+            from: self.table.me().clone(),
+            turn: self.turn,
+            load: self.load,
+            number,
+            ask,
+            news,
+            names: self.outlier(),
+            digest: self.table.digest(),
         }
-        self.sent += 1;
-        Message { number, ask, news, names: self.outlier(now), drains: self.drains }
     }
 
-    /// What is due: probes, those that ended without an answer, suspicions that are over. A steward that stood
-    /// still itself must not blame others for it: what fell into its own pause is forgotten.
+    fn send(&mut self, to: To, number: u64, ask: Ask, first: Vec<Entry>, mail: &mut Mail) {
+        let message = self.message(number, ask, first);
+        mail.push((to, message));
+    }
+
+    /// A steward that stood still itself must not blame others for it: what fell into its own pause is forgotten. So
+    /// with a clock that was set: nothing is concluded from a span that it jumped over.
+    fn wake(&mut self, now: Seconds) {
+        let since = now - self.ticked_at;
+        if (0.0..=PROBE_ENDS).contains(&since) {
+            return;
+        }
+        if self.table.lacks(Defence::OwnTrouble) && since > 0.0 {
+            return;
+        }
+        self.health.turned(since.abs());
+        self.out.clear();
+        for peer in self.peers.values_mut() {
+            (peer.since, peer.heard_at) = (now, peer.heard_at.min(now));
+            peer.ask_at = peer.ask_at.min(now + peer.ask_span);
+        }
+        let soon = now + PERIOD;
+        (self.ticked_at, self.probes_at) = (now, self.probes_at.min(soon));
+        (self.compare_at, self.seek_at) = (self.compare_at.min(soon), self.seek_at.min(now + SEEK_SLOWLY));
+        self.claim = self.claim.map(|(process, at)| (process, at.min(now)));
+    }
+
+    /// What is due: probes, those that ended without an answer, suspicions that are over, the dead to be asked, those
+    /// to be forgotten, someone to join.
     pub fn tick(&mut self, now: Seconds) -> (Mail, Vec<Changed>) {
-        let stood_still = now - self.ticked_at > PROBE_ENDS;
-        self.ticked_at = now;
         let (mut mail, mut changed) = (Mail::new(), Vec::new());
-        if stood_still {
-            self.out.clear();
-            self.peers.values_mut().for_each(|peer| peer.since = peer.since.max(now - SUSPECTED_FOR / 2.0));
+        if self.yielded {
+            return (mail, changed);
         }
+        self.wake(now);
+        self.health.turned(now - self.ticked_at - PERIOD);
+        self.ticked_at = now;
         self.end_probes(now, &mut mail, &mut changed);
         self.end_suspicions(now, &mut changed);
         self.look_for_withdrawn(now, &mut changed);
+        self.forget_the_gone(now);
+        self.end_claim(now, &mut changed);
         if now >= self.probes_at {
             self.probes_at = now + PERIOD;
             if let Some(to) = self.next_target() {
-                self.send_probe(now, to, None, &mut mail);
+                self.send_probe(now, to, None, Vec::new(), &mut mail);
             }
             self.warn_suspect(now, &mut mail);
+            self.ask_a_dead(now, &mut mail);
+            self.seek(now, &mut mail);
         }
         (mail, changed)
     }
 
-    fn send_probe(&mut self, now: Seconds, to: StewardId, behalf: Option<(StewardId, u64)>, mail: &mut Mail) {
+    fn send_probe(
+        &mut self,
+        now: Seconds,
+        to: StewardId,
+        behalf: Option<(StewardId, u64)>,
+        first: Vec<Entry>,
+        mail: &mut Mail,
+    ) {
         self.number += 1;
         let number = self.number;
-        let message = self.message(number, Ask::Probe, now);
-        mail.push((to, message));
-        self.out.push(Out { number, to, at: now, through: behalf.is_some(), behalf });
+        self.send(To::Steward(to), number, Ask::Probe, first, mail);
+        let through = behalf.is_some();
+        self.out.push(Out { number, to, at: now, through, helpers: 0, helped: false, behalf });
     }
 
     /// A suspect is asked once more each time, and told what it is suspected of: on a net that loses messages its
     /// own word must have more than one way back.
     fn warn_suspect(&mut self, now: Seconds, mail: &mut Mail) {
-        let suspects = self.peers.iter().filter(|(_, peer)| peer.standing == Standing::Suspect);
-        let suspects: Vec<News> = suspects
-            .map(|(id, peer)| News { about: *id, incarnation: peer.incarnation, standing: peer.standing })
-            .collect();
-        if let Some(news) = suspects.choose(&mut self.chance).copied() {
-            self.tell_first(news);
-            self.send_probe(now, news.about, None, mail);
+        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
+        let suspects: Vec<Entry> = suspects.cloned().collect();
+        if let Some(word) = suspects.choose(&mut self.chance).cloned() {
+            self.send_probe(now, word.about, None, vec![word], mail);
         }
     }
 
-    /// Each other in turn, in an order that is shuffled anew each time: a dead one is met within two rounds. The
-    /// dead are asked too, one round in a while, so that two halves of a split find each other again.
+    /// Each other that lives in turn, in an order that is shuffled anew each time: a dead one is met within two
+    /// rounds.
     fn next_target(&mut self) -> Option<StewardId> {
         loop {
             if self.order.is_empty() {
-                self.order = self.peers.keys().copied().collect();
+                self.order = self.living().collect();
                 self.order.shuffle(&mut self.chance);
-                if self.order.is_empty() {
-                    return None;
-                }
             }
             let id = self.order.pop()?;
-            let gone = matches!(self.standing(id), Standing::Dead | Standing::Left);
-            if !gone || self.chance.next_u32().is_multiple_of(4) || self.alive() == 1 {
+            if self.standing(id).lives() {
                 return Some(id);
             }
         }
     }
 
+    /// Two halves of a split find each other again only if those held for dead are asked now and then; ever less
+    /// often, since most of the dead are dead.
+    fn ask_a_dead(&mut self, now: Seconds, mail: &mut Mail) {
+        if self.table.lacks(Defence::AskingTheDead) {
+            return;
+        }
+        let dead = self.table.others().filter(|entry| entry.standing == Standing::Dead);
+        let due = dead.filter_map(|entry| Some((self.peers.get(&entry.about)?.ask_at, entry.clone())));
+        let first = due.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.about.cmp(&b.1.about)));
+        let Some((_, word)) = first.filter(|(at, _)| *at <= now) else { return };
+        let part = 0.8 + 0.4 * self.chance.random::<f64>();
+        if let Some(peer) = self.peers.get_mut(&word.about) {
+            peer.ask_span = (peer.ask_span * 2.0).min(ASK_DEAD_MOST);
+            peer.ask_at = now + peer.ask_span * part;
+        }
+        self.send(To::Steward(word.about), 0, Ask::Probe, vec![word], mail);
+    }
+
+    /// While nobody is known to live, each address of the file is asked; else one of them now and then.
+    fn seek(&mut self, now: Seconds, mail: &mut Mail) {
+        if now < self.seek_at || self.manners.seeds.is_empty() {
+            return;
+        }
+        let part = 0.7 + 0.6 * self.chance.random::<f64>();
+        let known: BTreeSet<SocketAddr> = self.living().filter_map(|id| self.address(id)).collect();
+        let own = self.table.me().card.address;
+        let strange = |seed: &SocketAddr| !known.contains(seed) && Some(*seed) != own;
+        let mut seeds: Vec<SocketAddr> = self.manners.seeds.iter().copied().filter(strange).collect();
+        if self.alive() > 1 {
+            seeds = seeds.choose(&mut self.chance).copied().into_iter().collect();
+            (self.seek_at, self.seek_span) = (now + SEEK_SLOWLY * part, SEEK);
+        } else {
+            self.seek_at = now + self.seek_span * part;
+            self.seek_span = (self.seek_span * 1.5).min(SEEK_MOST);
+        }
+        for seed in seeds {
+            self.send(To::Address(seed), 0, Ask::Probe, Vec::new(), mail);
+        }
+    }
+
+    fn forget_the_gone(&mut self, now: Seconds) {
+        let gone = self.table.others().filter(|entry| !entry.standing.lives()).map(|entry| entry.about);
+        let gone =
+            gone.filter(|id| self.peers.get(id).is_none_or(|p| now - p.since > self.manners.forget_after));
+        for id in gone.collect::<Vec<_>>() {
+            self.table.forget(id);
+            self.rumours.drop_word(id);
+            self.peers.remove(&id);
+        }
+    }
+
     fn end_probes(&mut self, now: Seconds, mail: &mut Mail, changed: &mut Vec<Changed>) {
-        let late: Vec<(u64, StewardId)> = (self.out.iter())
-            .filter(|out| !out.through && now - out.at >= self.peers[&out.to].usual.late_after())
-            .map(|out| (out.number, out.to))
-            .collect();
-        for (number, to) in late {
-            if let Some(out) = self.out.iter_mut().find(|out| out.number == number) {
-                out.through = true;
+        self.ask_through_others(now, mail);
+        let ends = PROBE_ENDS * self.patience();
+        let is_over = |out: &Out| now - out.at >= if out.behalf.is_some() { PROBE_ENDS / 2.0 } else { ends };
+        let over: Vec<Out> = self.out.iter().filter(|out| is_over(out)).cloned().collect();
+        self.out.retain(|out| !is_over(out));
+        for out in over {
+            if let Some((asker, number)) = out.behalf {
+                self.send(To::Steward(asker), number, Ask::NoAnswerOf(out.to), Vec::new(), mail);
+                continue;
             }
-            let mut others: Vec<StewardId> = self.peers.keys().copied().collect();
-            others.retain(|id| *id != to && self.standing(*id) == Standing::Alive);
-            others.shuffle(&mut self.chance);
-            for other in others.into_iter().take(THROUGH) {
-                let message = self.message(number, Ask::ProbeFor(to), now);
-                mail.push((other, message));
+            if out.helpers > 0 && !out.helped {
+                self.health.heard_nothing();
             }
-        }
-        let is_over = |out: &Out| now - out.at >= PROBE_ENDS;
-        let over: Vec<(StewardId, bool)> =
-            self.out.iter().filter(|out| is_over(out)).map(|out| (out.to, out.behalf.is_some())).collect();
-        self.out.retain(|out| !is_over(out));
-        for (to, on_behalf) in over {
-            if !on_behalf {
-                self.score(now, to, true);
-                self.suspect(now, to, changed);
+            if let Some(peer) = self.peers.get_mut(&out.to) {
+                peer.answers.judge(now, true);
             }
+            self.suspect(now, out.to, out.helpers, changed);
         }
     }
 
-    fn suspect(&mut self, now: Seconds, about: StewardId, changed: &mut Vec<Changed>) {
-        let Some(peer) = self.peers.get(&about).filter(|peer| peer.standing == Standing::Alive) else {
-            return;
+    fn ask_through_others(&mut self, now: Seconds, mail: &mut Mail) {
+        let patience = self.patience();
+        let late_after = |id: &StewardId| {
+            let answers = self.peers.get(id).map(|peer| peer.answers).unwrap_or_default();
+            answers.late_after(PROBE_ENDS / 2.0) * patience
         };
-        let news = News { about, incarnation: peer.incarnation, standing: Standing::Suspect };
-        self.learn(now, news, "no answer, neither directly nor through others", changed);
+        let late = self.out.iter().filter(|out| !out.through && now - out.at >= late_after(&out.to));
+        let late: Vec<(u64, StewardId)> = late.map(|out| (out.number, out.to)).collect();
+        for (number, to) in late {
+            let mut others: Vec<StewardId> =
+                self.living().filter(|id| *id != to && self.standing(*id) == Standing::Alive).collect();
+            others.shuffle(&mut self.chance);
+            others.truncate(THROUGH);
+            if let Some(out) = self.out.iter_mut().find(|out| out.number == number) {
+                (out.through, out.helpers) = (true, others.len());
+            }
+            for other in others {
+                self.send(To::Steward(other), number, Ask::ProbeFor(to), Vec::new(), mail);
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Seconds, about: StewardId, helpers: usize, changed: &mut Vec<Changed>) {
+        let Some(entry) = self.table.get(about).filter(|entry| entry.standing.lives()) else { return };
+        let word = Entry { standing: Standing::Suspect, by: Some(self.me()), ..entry.clone() };
+        let why = format!("it answered neither us nor {helpers} others that we asked to probe it");
+        self.take_in(now, &word, &why, changed);
+    }
+
+    /// How long a suspicion stands: the more that accuse independently, the shorter; the worse we fare ourselves,
+    /// the longer.
+    fn suspected_for(&self, peer: &Peer) -> Seconds {
+        let alive = self.alive();
+        let base = SUSPECTED_FOR * (alive as f64).ln().max(1.0);
+        if self.table.lacks(Defence::OwnTrouble) {
+            return base;
+        }
+        let needed = ACCUSERS.min(alive.saturating_sub(2));
+        let more = peer.accusers.len().saturating_sub(1).min(needed);
+        let share = if needed == 0 { 0.5 } else { ((more + 1) as f64).ln() / ((needed + 1) as f64).ln() };
+        let longest = base * ALONE_LONGER;
+        (longest - (longest - base) * share) * self.patience()
     }
 
     fn end_suspicions(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
-        let stands = SUSPECTED_FOR * ((self.peers.len() + 1) as f64).ln().max(1.0);
-        let over =
-            self.peers.iter().filter(|(_, p)| p.standing == Standing::Suspect && now - p.since >= stands);
-        let over: Vec<News> = over
-            .map(|(id, peer)| News { about: *id, incarnation: peer.incarnation, standing: Standing::Dead })
-            .collect();
-        for news in over {
-            self.learn(now, news, "suspected for long, and it said nothing", changed);
+        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
+        let over = suspects.filter(|entry| {
+            let peer = self.peers.get(&entry.about);
+            peer.is_some_and(|peer| now - peer.since >= self.suspected_for(peer))
+        });
+        for entry in over.cloned().collect::<Vec<_>>() {
+            let accusers = self.peers.get(&entry.about).map(|peer| peer.accusers.clone()).unwrap_or_default();
+            let accusers: Vec<String> = accusers.iter().map(|id| id.0.to_string()).collect();
+            let why = format!("suspected by {}, and it said nothing", accusers.join(", "));
+            let word = Entry { standing: Standing::Dead, by: Some(self.me()), ..entry };
+            self.take_in(now, &word, &why, changed);
         }
     }
 
     /// Takes in a message; what is to be answered.
-    pub fn hear(&mut self, now: Seconds, from: StewardId, message: &Message) -> (Mail, Vec<Changed>) {
+    pub fn hear(&mut self, now: Seconds, message: &Message) -> (Mail, Vec<Changed>) {
         let (mut mail, mut changed) = (Mail::new(), Vec::new());
-        if !self.peers.contains_key(&from) {
+        let from = message.from.about;
+        if self.yielded {
             return (mail, changed);
         }
-        for news in &message.news {
-            self.learn(now, *news, "others say so", &mut changed);
+        if from == self.me() {
+            self.hear_own_name(now, message, &mut mail, &mut changed);
+            return (mail, changed);
         }
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.names = message.names.map(|named| (named, now));
-            if std::mem::replace(&mut peer.drains, message.drains) != message.drains {
-                let why = if message.drains { "it is drained" } else { "it is drained no more" };
-                let (about, standing, withdrawn) = (from, peer.standing, peer.withdrawn);
-                changed.push(Changed { about, standing, withdrawn, why: why.into() });
+        self.wake(now);
+        match self.take_in(now, &message.from, "it says so itself", &mut changed) {
+            Learnt::Old | Learnt::Full => {
+                self.tell_off(&message.from, &mut mail);
+                return (mail, changed);
             }
+            _ => {}
         }
+        let fresh = self.note_sender(now, message);
+        for word in &message.news {
+            let why = match word.by {
+                Some(by) => format!("steward {} says so, by word of steward {}", by.0, from.0),
+                None => format!("by word of steward {}", from.0),
+            };
+            self.take_in(now, word, &why, &mut changed);
+        }
+        self.answer(now, message, &mut mail, &mut changed);
+        if fresh && message.digest != self.table.digest() && now >= self.compare_at {
+            self.begin_compare(now, from, &mut mail);
+        }
+        (mail, changed)
+    }
+
+    /// A process that was followed or forgotten is told, at the address that it gives.
+    fn tell_off(&mut self, old: &Entry, mail: &mut Mail) {
+        let Some(address) = old.card.address else { return };
+        let word = self.table.answer_to_old(old);
+        self.send(To::Address(address), 0, Ask::Tell, vec![word], mail);
+    }
+
+    /// What only the sender's latest message may tell; one that comes late or again tells nothing of it.
+    fn note_sender(&mut self, now: Seconds, message: &Message) -> bool {
+        let life = message.from.life;
+        let known =
+            self.table.get(message.from.about).is_some_and(|entry| entry.life.process == life.process);
+        let Some(peer) = self.peers.get_mut(&message.from.about) else { return false };
+        let fresh = known && message.turn > peer.turn;
+        if fresh {
+            (peer.turn, peer.heard_at, peer.load) = (message.turn, now, message.load);
+            peer.names = message.names.map(|named| (named, now));
+        }
+        fresh
+    }
+
+    fn answer(&mut self, now: Seconds, message: &Message, mail: &mut Mail, changed: &mut Vec<Changed>) {
+        let from = message.from.about;
         match &message.ask {
             Ask::Probe => {
                 // One that we hold for dead is told, so that it can say otherwise.
-                let doubted = self.peers.get(&from).filter(|peer| peer.standing != Standing::Alive);
-                if let Some(peer) = doubted {
-                    let news = News { about: from, incarnation: peer.incarnation, standing: peer.standing };
-                    self.tell_first(news);
-                }
-                let answer = self.message(message.number, Ask::Answer, now);
-                mail.push((from, answer));
+                let held = self.table.get(from).filter(|entry| entry.standing != Standing::Alive);
+                let doubts = held.filter(|entry| entry.life == message.from.life).cloned();
+                let first = doubts.into_iter().collect();
+                self.send(To::Steward(from), message.number, Ask::Answer, first, mail);
             }
             Ask::ProbeFor(target) if self.peers.contains_key(target) && self.out.len() < OUT_MOST => {
-                self.send_probe(now, *target, Some((from, message.number)), &mut mail);
+                self.send_probe(now, *target, Some((from, message.number)), Vec::new(), mail);
             }
-            Ask::ProbeFor(_) => {}
-            Ask::Answer => self.answered(now, from, message.number, &mut mail, &mut changed),
+            Ask::ProbeFor(_) | Ask::Tell => {}
+            Ask::Answer => self.answered(now, from, message.number, mail, changed),
             Ask::AnswerOf(target) => {
                 // It lives, though not for us: badly, but not silent.
                 let out = self.out.iter().position(|out| out.number == message.number && out.to == *target);
                 if let Some(place) = out {
                     self.out.remove(place);
-                    self.score(now, *target, true);
+                    self.health.did_well();
+                    if let Some(peer) = self.peers.get_mut(target) {
+                        peer.answers.judge(now, true);
+                    }
+                }
+            }
+            Ask::NoAnswerOf(target) => {
+                let out = self.out.iter_mut().find(|out| out.number == message.number && out.to == *target);
+                out.into_iter().for_each(|out| out.helped = true);
+            }
+            Ask::Compare { from: first, to, lines } => {
+                let (better, want) = self.table.compare(*first, *to, lines);
+                if !better.is_empty() || !want.is_empty() {
+                    self.send(To::Steward(from), 0, Ask::Want(want), better, mail);
+                }
+            }
+            Ask::Want(ids) => {
+                let known: Vec<Entry> = ids.iter().filter_map(|id| self.table.get(*id).cloned()).collect();
+                for part in known.chunks(NEWS_MOST).take(LINES_MOST / NEWS_MOST) {
+                    self.send(To::Steward(from), 0, Ask::Tell, part.to_vec(), mail);
                 }
             }
         }
-        (mail, changed)
+    }
+
+    fn begin_compare(&mut self, now: Seconds, with: StewardId, mail: &mut Mail) {
+        if self.table.lacks(Defence::AntiEntropy) {
+            return;
+        }
+        self.compare_at = now + COMPARE_EVERY;
+        let from = self.compare_from;
+        let (lines, to, next) = self.table.page(from);
+        self.compare_from = next;
+        self.send(To::Steward(with), 0, Ask::Compare { from, to, lines }, Vec::new(), mail);
     }
 
     fn answered(
@@ -421,32 +669,25 @@
         };
         let out = self.out.remove(place);
         if let Some((asker, number)) = out.behalf {
-            let answer = self.message(number, Ask::AnswerOf(from), now);
-            mail.push((asker, answer));
+            self.send(To::Steward(asker), number, Ask::AnswerOf(from), Vec::new(), mail);
             return;
         }
-        let peer = self.peers.get_mut(&from).expect("probes go to peers");
-        let was_late = now - out.at > peer.usual.late_after();
-        peer.usual.add(now, (now - out.at).min(PROBE_ENDS));
-        self.score(now, from, was_late);
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        let was_late = now - out.at > peer.answers.late_after(PROBE_ENDS / 2.0);
+        peer.answers.add(now, (now - out.at).min(PROBE_ENDS));
+        peer.answers.judge(now, was_late);
+        if !was_late {
+            self.health.did_well();
+        }
         self.look_for_withdrawn(now, changed);
     }
 
-    /// Up at once for one that does badly, down step by step while it does well.
-    fn score(&mut self, now: Seconds, id: StewardId, badly: bool) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        let passed = (now - std::mem::replace(&mut peer.scored_at, now)).max(0.0);
-        peer.badly += (f64::from(u8::from(badly)) - peer.badly) / PROBES;
-        peer.score = match peer.badly > BADLY {
-            true => SCORE_MOST,
-            false => (peer.score - passed * SCORE_FALLS).max(0.0),
-        };
-    }
-
     /// The one of those that live whose score stands out, if one does.
-    fn outlier(&self, _now: Seconds) -> Option<StewardId> {
-        let lives = self.peers.iter().filter(|(_, peer)| peer.standing == Standing::Alive);
-        let mut scores: Vec<(f64, StewardId)> = lives.map(|(id, peer)| (peer.score, *id)).collect();
+    fn outlier(&self) -> Option<StewardId> {
+        let alive = self.table.others().filter(|entry| entry.standing == Standing::Alive);
+        let score = |id: StewardId| self.peers.get(&id).map_or(0.0, |peer| peer.answers.score);
+        let mut scores: Vec<(f64, StewardId)> =
+            alive.map(|entry| (score(entry.about), entry.about)).collect();
         scores.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let next = scores.get(1).map_or(0.0, |score| score.0);
         scores.first().filter(|worst| worst.0 > next + GAP).map(|worst| worst.1)
@@ -455,12 +696,12 @@
     /// Most of those that live name it. Two cannot judge each other: with fewer than three nobody is withdrawn.
     fn is_named(&self, id: StewardId, now: Seconds) -> bool {
         let alive = self.alive();
-        let fresh = |peer: &&Peer| {
-            peer.standing == Standing::Alive
-                && peer.names.is_some_and(|(named, at)| named == id && now - at <= NAMED_FOR)
+        let fresh = |named: &(&StewardId, &Peer)| {
+            self.standing(*named.0) == Standing::Alive
+                && named.1.names.is_some_and(|(named, at)| named == id && now - at <= NAMED_FOR)
         };
-        let ours = usize::from(id != self.me && self.outlier(now) == Some(id));
-        let names = ours + self.peers.values().filter(fresh).count();
+        let ours = usize::from(id != self.me() && self.outlier() == Some(id));
+        let names = ours + self.peers.iter().filter(fresh).count();
         alive >= 3 && names * 2 > alive
     }
 
@@ -468,87 +709,186 @@
         let ids: Vec<StewardId> = self.peers.keys().copied().collect();
         for id in ids {
             let named = self.is_named(id, now);
-            let peer = self.peers.get_mut(&id).expect("listed above");
+            let (Some(peer), Some(entry)) = (self.peers.get_mut(&id), self.table.get(id)) else { continue };
             if peer.withdrawn != named {
                 peer.withdrawn = named;
                 let why = if named { "most others find it late" } else { "it answers in time again" };
-                changed.push(Changed {
-                    about: id,
-                    standing: peer.standing,
-                    withdrawn: named,
-                    why: why.into(),
-                });
+                let (life, standing) = (entry.life, entry.standing);
+                changed.push(Changed { about: id, life, standing, withdrawn: named, why: why.into() });
             }
         }
     }
 
-    fn learn(&mut self, now: Seconds, news: News, why: &str, changed: &mut Vec<Changed>) {
-        if news.about == self.me {
-            // Whoever says that we are not alive is told otherwise, also when we have said so before: what we
-            // said then did not reach it.
-            if news.standing != Standing::Alive {
-                self.incarnation = self.incarnation.max(news.incarnation + 1);
-                let alive = News { about: self.me, incarnation: self.incarnation, standing: Standing::Alive };
-                self.tell_first(alive);
+    /// Takes in one word, whoever brought it.
+    fn take_in(&mut self, now: Seconds, word: &Entry, why: &str, changed: &mut Vec<Changed>) -> Learnt {
+        let protects = !self.table.lacks(Defence::OwnTrouble);
+        let heard = self.peers.get(&word.about).map_or(f64::NEG_INFINITY, |peer| peer.heard_at);
+        let heard_lately = protects && word.by != Some(self.me()) && now - heard < HEARD_LATELY;
+        let learnt = self.table.learn(word, heard_lately);
+        match &learnt {
+            Learnt::News { was, card_changed } => self.follow(now, word, *was, *card_changed, why, changed),
+            Learnt::Refuted => {
+                self.health.was_suspected();
+                self.rumours.tell_first(self.table.me().clone());
             }
-            return;
+            Learnt::Rival => self.claimed(now, word),
+            Learnt::Full => self.refused += 1,
+            Learnt::Nothing => self.count_accuser(word),
+            Learnt::Old => {}
         }
-        let Some(peer) = self.peers.get_mut(&news.about) else { return };
-        let worse = news.incarnation == peer.incarnation && news.standing > peer.standing;
-        if news.incarnation <= peer.incarnation && !worse {
-            return;
+        learnt
+    }
+
+    fn follow(
+        &mut self,
+        now: Seconds,
+        word: &Entry,
+        was: Option<Standing>,
+        card_changed: bool,
+        why: &str,
+        changed: &mut Vec<Changed>,
+    ) {
+        let Some(held) = self.table.get(word.about).cloned() else { return };
+        let peer = self.peers.entry(word.about).or_insert_with(|| Peer::new(now));
+        if was.is_some_and(|was| was > Standing::Suspect) && held.standing == Standing::Alive {
+            peer.answers.forgive();
+        }
+        if was != Some(held.standing) {
+            peer.since = now;
+            (peer.ask_span, peer.ask_at) = (ASK_DEAD, now + ASK_DEAD);
+        }
+        if card_changed || held.standing == Standing::Alive {
+            peer.accusers.clear();
+        }
+        if held.life.count == 0 && held.standing == Standing::Alive {
+            // Another process: its messages are counted anew.
+            peer.turn = 0;
+        }
+        if held.standing == Standing::Suspect {
+            peer.accusers.extend(word.by);
+        }
+        if was != Some(held.standing) || card_changed {
+            let (about, life, standing, withdrawn) = (held.about, held.life, held.standing, peer.withdrawn);
+            changed.push(Changed { about, life, standing, withdrawn, why: why.to_owned() });
+        }
+        self.rumours.tell(held);
+    }
+
+    /// One more that finds a suspect missing makes the suspicion shorter; it is passed on, a few times at the most.
+    fn count_accuser(&mut self, word: &Entry) {
+        let Some(held) = self.table.get(word.about) else { return };
+        let same = held.standing == Standing::Suspect
+            && word.standing == Standing::Suspect
+            && held.life == word.life;
+        let Some(peer) = self.peers.get_mut(&word.about).filter(|_| same) else { return };
+        if let Some(by) = word.by.filter(|_| peer.accusers.len() <= ACCUSERS) {
+            if peer.accusers.insert(by) {
+                self.rumours.tell(word.clone());
+            }
+        }
+    }
+
+    /// A message under our own name. Ours come back by an address of the file that is our own; an older process is
+    /// told that we follow it; a newer one is obeyed.
+    fn hear_own_name(
+        &mut self,
+        now: Seconds,
+        message: &Message,
+        mail: &mut Mail,
+        changed: &mut Vec<Changed>,
+    ) {
+        let (theirs, ours) = (message.from.life.process, self.table.me().life.process);
+        if theirs < ours {
+            if let Some(address) = message.from.card.address {
+                self.send(To::Address(address), message.number, Ask::Answer, Vec::new(), mail);
+            }
         }
-        let was = peer.standing;
-        if was > Standing::Suspect && news.standing == Standing::Alive {
-            // That it was away has been held against it already.
-            (peer.score, peer.badly) = (0.0, 0.0);
+        if theirs <= ours || self.table.lacks(Defence::Process) {
+            return;
         }
-        (peer.incarnation, peer.standing, peer.since) = (news.incarnation, news.standing, now);
-        if was != news.standing {
-            let (about, standing, withdrawn) = (news.about, news.standing, peer.withdrawn);
-            changed.push(Changed { about, standing, withdrawn, why: why.to_owned() });
+        self.yielded = true;
+        self.wake(now);
+        let me = self.table.me();
+        let why = format!("process {theirs} lives under our name: ours, {ours}, takes no part any more");
+        let (about, life) = (me.about, me.life);
+        changed.push(Changed { about, life, standing: Standing::Left, withdrawn: true, why });
+    }
+
+    /// A process of our name with a higher number is spoken of: either it lives, or a clock was set back since.
+    fn claimed(&mut self, now: Seconds, word: &Entry) {
+        if self.claim.is_none_or(|(process, _)| process < word.life.process) {
+            self.claim = Some((word.life.process, now));
+            if let Some(address) = word.card.address.filter(|own| Some(*own) != self.table.me().card.address)
+            {
+                self.manners.seeds.retain(|seed| *seed != address);
+                self.manners.seeds.push(address);
+                self.seek_at = now;
+            }
         }
-        self.news.retain(|(known, _)| known.about != news.about);
-        self.news.push_back((news, 0));
+    }
+
+    fn end_claim(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
+        let Some((process, at)) = self.claim.filter(|(_, at)| now - at >= CLAIM_FOR) else { return };
+        self.claim = None;
+        self.table.rise_above(process);
+        let me = self.table.me().clone();
+        let why = format!(
+            "process {process} of ours is spoken of and silent since {:.1} s: we go above it",
+            now - at
+        );
+        changed.push(Changed {
+            about: me.about,
+            life: me.life,
+            standing: me.standing,
+            withdrawn: false,
+            why,
+        });
+        self.rumours.tell_first(me);
     }
 
     /// Tells the others that we go.
-    pub fn leave(&mut self, now: Seconds) -> Mail {
-        let news = News { about: self.me, incarnation: self.incarnation, standing: Standing::Left };
-        self.tell_first(news);
-        let ids: Vec<StewardId> = self.peers.keys().copied().collect();
-        ids.into_iter()
-            .map(|id| {
-                self.number += 1;
-                let number = self.number;
-                let mut message = self.message(number, Ask::Probe, now);
-                if !message.news.contains(&news) {
-                    message.news.push(news);
-                }
-                (id, message)
-            })
-            .collect()
+    pub fn leave(&mut self, _now: Seconds) -> Mail {
+        self.table.leave();
+        let mut mail = Mail::new();
+        for id in self.living().collect::<Vec<_>>() {
+            self.send(To::Steward(id), 0, Ask::Tell, Vec::new(), &mut mail);
+        }
+        mail
+    }
+
+    /// Our life, for the log.
+    pub fn life(&self) -> Life {
+        self.table.me().life
+    }
+
+    /// Words that wait to be passed on.
+    pub fn rumours(&self) -> usize {
+        self.rumours.len()
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::entry::Card;
 
     fn flooded(ask: Ask) -> Members {
         let ids: Vec<StewardId> = (0..5).map(StewardId).collect();
-        let mut members = Members::new(ids[0], &ids, 1, 0.0, 1);
-        let dead = News { about: ids[1], incarnation: 0, standing: Standing::Dead };
+        let mut members = Members::new(Entry::alive(ids[0], 1, Card::default()), Manners::default(), 0.0, 1);
+        members.expect(&ids, 0.0);
+        let dead = Entry { standing: Standing::Dead, ..Entry::alive(ids[1], 0, Card::default()) };
+        let from = Entry::alive(ids[1], 0, Card::default());
         for number in 0..10_000 {
-            let message = Message { number, ask: ask.clone(), news: vec![dead], names: None, drains: false };
-            members.hear(0.1, ids[1], &message);
+            let (ask, news, load) = (ask.clone(), vec![dead.clone()], Load::default());
+            let (from, turn) = (from.clone(), number);
+            members.hear(0.1, &Message { from, turn, load, number, ask, news, names: None, digest: 0 });
         }
         members
     }
 
     #[test]
     fn one_that_asks_without_end_makes_nothing_grow() {
-        assert!(flooded(Ask::Probe).news.len() <= 5);
+        assert!(flooded(Ask::Probe).rumours() <= 5);
         assert!(flooded(Ask::ProbeFor(StewardId(2))).out.len() <= OUT_MOST);
     }
 }
--- /dev/null
+++ b/crates/railhub-membership/src/table.rs
@@ -0,0 +1,328 @@
+//! What one steward holds of all: the merge of entries, free of time. Any order and any repetition of the same
+//! words ends in the same table, but for words about ourselves, which are answered by a higher count.
+use crate::entry::{mix, Card, Entry, Life, Standing};
+use crate::words::{Line, LINES_MOST, NEWS_MOST};
+use crate::StewardId;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Stewards held at once; further ones are refused and counted, those that are known stay.
+pub const STEWARDS_MOST: usize = 1024;
+/// Processes that are remembered as forgotten; the one that was forgotten first makes room.
+const TOMBS_MOST: usize = 4096;
+
+/// What a part of the design does against harm; each can be left out, so that its check can be seen to fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defence {
+    /// One that is suspected says otherwise.
+    Refutation,
+    /// The dead are asked again.
+    AskingTheDead,
+    /// Words of older processes are dropped.
+    Process,
+    /// Views are compared and what differs is sent.
+    AntiEntropy,
+    /// A rumour is passed on a few times, then no more.
+    RumourBound,
+    /// An observer counts its own trouble first.
+    OwnTrouble,
+    /// All but refutation, processes and the bound: SWIM as it was first published.
+    Additions,
+}
+
+/// What a word was worth.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Learnt {
+    /// Known already, or older than what is known.
+    Nothing,
+    /// Of a process that has been followed by another, or forgotten.
+    Old,
+    /// No room for one more steward.
+    Full,
+    /// It changed what is held; what was held before.
+    News { was: Option<Standing>, card_changed: bool },
+    /// It doubted us; our entry has a higher life now.
+    Refuted,
+    /// Another process with our name and a higher number is spoken of.
+    Rival,
+}
+
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: Entry,
+    others: BTreeMap<StewardId, Entry>,
+    /// The highest process that was forgotten, and in which order that was.
+    tombs: BTreeMap<StewardId, u64>,
+    tomb_order: VecDeque<StewardId>,
+    without: Option<Defence>,
+    digest: u64,
+}
+
+impl Table {
+    pub fn new(me: Entry, without: Option<Defence>) -> Table {
+        let mut table = Table {
+            me,
+            others: BTreeMap::new(),
+            tombs: BTreeMap::new(),
+            tomb_order: VecDeque::new(),
+            without,
+            digest: 0,
+        };
+        table.sum_up();
+        table
+    }
+
+    pub fn lacks(&self, defence: Defence) -> bool {
+        use Defence::*;
+        let plain = matches!(defence, AskingTheDead | AntiEntropy | OwnTrouble);
+        self.without == Some(defence) || (self.without == Some(Additions) && plain)
+    }
+
+    pub fn me(&self) -> &Entry {
+        &self.me
+    }
+
+    pub fn get(&self, id: StewardId) -> Option<&Entry> {
+        if id == self.me.about {
+            Some(&self.me)
+        } else {
+            self.others.get(&id)
+        }
+    }
+
+    pub fn others(&self) -> impl Iterator<Item = &Entry> {
+        self.others.values()
+    }
+
+    /// The same for all that hold the same to live, whatever they suspect and whomever they have forgotten.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    fn sum_up(&mut self) {
+        let lives = self.others.values().filter(|entry| entry.standing.lives());
+        let own = if self.me.standing.lives() { self.me.digest() } else { 0 };
+        self.digest = lives.map(Entry::digest).fold(own, |sum, part| sum ^ mix(part));
+        if self.me.standing.lives() {
+            self.digest ^= own ^ mix(own);
+        }
+    }
+
+    /// Rewrites our own entry under a higher count.
+    pub fn rewrite(&mut self, change: impl FnOnce(&mut Card)) {
+        change(&mut self.me.card);
+        self.me.life.count += 1;
+        self.sum_up();
+    }
+
+    pub fn leave(&mut self) {
+        self.me.life.count += 1;
+        self.me.standing = Standing::Left;
+        self.sum_up();
+    }
+
+    /// Our process takes a higher number: one of ours had it before, or we were forgotten.
+    pub fn rise_above(&mut self, process: u64) {
+        self.me.life = Life { process: process.max(self.me.life.process) + 1, count: 0 };
+        self.sum_up();
+    }
+
+    /// Takes in a word about a steward. `heard_lately`: we had its own word a moment ago, so that it is dead can at
+    /// most be suspected; it is asked.
+    pub fn learn(&mut self, word: &Entry, heard_lately: bool) -> Learnt {
+        if word.about == self.me.about {
+            return self.doubted(word);
+        }
+        let ignores = self.lacks(Defence::Process);
+        if !ignores && self.tombs.get(&word.about).is_some_and(|tomb| word.life.process <= *tomb) {
+            return Learnt::Old;
+        }
+        let Some(known) = self.others.get(&word.about) else {
+            return self.meet(word);
+        };
+        let older = word.life.process < known.life.process;
+        let beats = match ignores {
+            true => (word.life.count, word.standing) > (known.life.count, known.standing),
+            false => word.beats(known),
+        };
+        if word.standing == Standing::Forgotten || !beats {
+            return if older && !ignores { Learnt::Old } else { Learnt::Nothing };
+        }
+        let mut word = word.clone();
+        if heard_lately && word.standing == Standing::Dead && word.life == known.life {
+            word.standing = Standing::Suspect;
+            if known.standing == Standing::Suspect {
+                return Learnt::Nothing;
+            }
+        }
+        let news = Learnt::News { was: Some(known.standing), card_changed: known.card != word.card };
+        self.others.insert(word.about, word);
+        self.sum_up();
+        news
+    }
+
+    fn meet(&mut self, word: &Entry) -> Learnt {
+        if word.standing == Standing::Forgotten {
+            return Learnt::Nothing;
+        }
+        if self.others.len() >= STEWARDS_MOST {
+            return Learnt::Full;
+        }
+        self.others.insert(word.about, word.clone());
+        self.sum_up();
+        Learnt::News { was: None, card_changed: true }
+    }
+
+    /// A word about us. Whoever says that we are not alive is told otherwise, also when we have said so before:
+    /// what we said then did not reach it.
+    fn doubted(&mut self, word: &Entry) -> Learnt {
+        let mine = self.me.life;
+        if word.life.process != mine.process {
+            return if word.life.process > mine.process { Learnt::Rival } else { Learnt::Old };
+        }
+        let doubts = word.standing != Standing::Alive && self.me.standing == Standing::Alive;
+        if !doubts || self.lacks(Defence::Refutation) {
+            return Learnt::Nothing;
+        }
+        if word.standing == Standing::Forgotten {
+            self.rise_above(mine.process);
+        } else if word.life.count >= mine.count {
+            self.me.life.count = word.life.count + 1;
+            self.sum_up();
+        }
+        Learnt::Refuted
+    }
+
+    /// Gives up what is held of one that is long gone; its process is refused from now on.
+    pub fn forget(&mut self, id: StewardId) {
+        let Some(entry) = self.others.remove(&id) else { return };
+        if self.tombs.insert(id, entry.life.process).is_none() {
+            self.tomb_order.push_back(id);
+        }
+        if self.tombs.len() > TOMBS_MOST {
+            self.tomb_order.pop_front().into_iter().for_each(|id| _ = self.tombs.remove(&id));
+        }
+        self.sum_up();
+    }
+
+    /// What a process that was followed or forgotten is told, so that it knows.
+    pub fn answer_to_old(&self, word: &Entry) -> Entry {
+        let known = self.others.get(&word.about).filter(|known| known.life.process >= word.life.process);
+        let forgotten = || Entry { standing: Standing::Forgotten, ..word.clone() };
+        known.cloned().unwrap_or_else(forgotten)
+    }
+
+    /// One page of what we hold, from a steward on; where the next page begins.
+    pub fn page(&self, from: StewardId) -> (Vec<Line>, StewardId, StewardId) {
+        let me = std::iter::once((&self.me.about, &self.me));
+        let mut all: Vec<(&StewardId, &Entry)> = self.others.iter().chain(me).collect();
+        all.sort_by_key(|(id, _)| **id);
+        let lines = all.iter().filter(|(id, _)| **id >= from);
+        let lines = lines.map(|(id, entry)| Line { about: **id, life: entry.life, standing: entry.standing });
+        let mut lines: Vec<Line> = lines.take(LINES_MOST + 1).collect();
+        let next = (lines.len() > LINES_MOST).then(|| lines[LINES_MOST].about);
+        lines.truncate(LINES_MOST);
+        let to = next.map_or(StewardId(u16::MAX), |next| StewardId(next.0 - 1));
+        (lines, to, next.unwrap_or(StewardId(0)))
+    }
+
+    /// What we know better than such a page, and whom we want to hear of.
+    pub fn compare(&self, from: StewardId, to: StewardId, lines: &[Line]) -> (Vec<Entry>, Vec<StewardId>) {
+        let (mut better, mut want) = (Vec::new(), Vec::new());
+        for line in lines {
+            let theirs = (line.life, line.standing);
+            match self.get(line.about) {
+                Some(ours) if (ours.life, ours.standing) > theirs => better.push(ours.clone()),
+                Some(ours) if (ours.life, ours.standing) < theirs => want.push(line.about),
+                None if self.tombs.get(&line.about).is_none_or(|tomb| line.life.process > *tomb) => {
+                    want.push(line.about);
+                }
+                _ => {}
+            }
+        }
+        let listed: std::collections::BTreeSet<StewardId> = lines.iter().map(|line| line.about).collect();
+        let me = std::iter::once(&self.me);
+        let lacking = self.others.values().chain(me).filter(|entry| {
+            (from..=to).contains(&entry.about) && !listed.contains(&entry.about) && entry.standing.lives()
+        });
+        better.extend(lacking.cloned());
+        better.truncate(NEWS_MOST);
+        want.truncate(LINES_MOST);
+        (better, want)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn word(about: u16, process: u64, count: u64, standing: usize) -> Entry {
+        let standing = [Standing::Alive, Standing::Suspect, Standing::Left, Standing::Dead][standing % 4];
+        let card = Card { settings: process * 100 + count, ..Card::default() };
+        let entry = Entry::alive(StewardId(about), process, card);
+        Entry { life: Life { process, count }, standing, ..entry }
+    }
+
+    fn table() -> Table {
+        Table::new(Entry::alive(StewardId(0), 1, Card::default()), None)
+    }
+
+    proptest! {
+        #[test]
+        fn any_order_and_any_repetition_of_the_same_words_ends_in_the_same_table(
+            words in prop::collection::vec((1..4u16, 0..3u64, 0..3u64, 0..4usize), 1..30),
+            order in prop::collection::vec(any::<prop::sample::Index>(), 0..60),
+        ) {
+            let words: Vec<Entry> = words.into_iter().map(|(a, p, c, s)| word(a, p, c, s)).collect();
+            let (mut straight, mut mixed) = (table(), table());
+            words.iter().for_each(|word| _ = straight.learn(word, false));
+            order.iter().for_each(|index| _ = mixed.learn(&words[index.index(words.len())], false));
+            words.iter().rev().for_each(|word| _ = mixed.learn(word, false));
+            prop_assert!(straight.others().eq(mixed.others()));
+            prop_assert_eq!(straight.digest(), mixed.digest());
+        }
+
+        #[test]
+        fn comparing_both_ways_ends_in_the_same_views(
+            ours in prop::collection::vec((1..9u16, 1..3u64, 0..3u64, 0..1usize), 0..9),
+            theirs in prop::collection::vec((1..9u16, 1..3u64, 0..3u64, 0..1usize), 0..9),
+        ) {
+            let (mut a, mut b) = (table(), Table::new(Entry::alive(StewardId(9), 1, Card::default()), None));
+            ours.into_iter().for_each(|(id, p, c, s)| _ = a.learn(&word(id, p, c, s), false));
+            theirs.into_iter().for_each(|(id, p, c, s)| _ = b.learn(&word(id, p, c, s), false));
+            for _ in 0..4 {
+                let (lines, to, _) = a.page(StewardId(0));
+                let (better, want) = b.compare(StewardId(0), to, &lines);
+                better.iter().for_each(|word| _ = a.learn(word, false));
+                want.iter().for_each(|id| _ = b.learn(&a.get(*id).cloned().expect("listed"), false));
+            }
+            prop_assert_eq!(a.digest(), b.digest());
+        }
+    }
+
+    #[test]
+    fn a_forgotten_process_is_never_believed_again_and_a_new_one_is() {
+        let mut table = table();
+        table.learn(&word(1, 5, 0, 3), false);
+        table.forget(StewardId(1));
+        assert_eq!(table.learn(&word(1, 5, 7, 0), false), Learnt::Old);
+        assert_eq!(table.answer_to_old(&word(1, 5, 7, 0)).standing, Standing::Forgotten);
+        assert!(matches!(table.learn(&word(1, 6, 0, 0), false), Learnt::News { was: None, .. }));
+    }
+
+    #[test]
+    fn one_that_was_forgotten_takes_a_higher_process_number() {
+        let mut table = table();
+        let forgotten = Entry { standing: Standing::Forgotten, ..table.me().clone() };
+        assert_eq!(table.learn(&forgotten, false), Learnt::Refuted);
+        assert_eq!(table.me().life, Life { process: 2, count: 0 });
+    }
+
+    #[test]
+    fn a_crowd_of_stewards_fills_the_table_and_no_more() {
+        let mut table = table();
+        (1..=STEWARDS_MOST as u16).for_each(|id| _ = table.learn(&word(id, 1, 0, 0), false));
+        assert_eq!(table.learn(&word(60_000, 1, 0, 0), false), Learnt::Full);
+        assert_eq!(table.others().count(), STEWARDS_MOST);
+    }
+}
--- a/crates/railhub-membership/tests/net.rs
+++ b/crates/railhub-membership/tests/net.rs
@@ -1,5 +1,7 @@
 //! Stewards on a simulated net: who finds whom dead, how soon, and whom nobody must.
-use railhub_membership::swim::{Changed, Members, Message, Standing};
+use railhub_membership::entry::{Card, Entry, Standing};
+use railhub_membership::swim::{Manners, Members};
+use railhub_membership::words::{Changed, Mail, Message, To};
 use railhub_membership::StewardId;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -11,6 +13,12 @@
 
 type Seen = Vec<(f64, StewardId, Changed)>;
 
+fn member(id: StewardId, ids: &[StewardId], process: u64, now: f64, seed: u64) -> Members {
+    let mut members = Members::new(Entry::alive(id, process, Card::default()), Manners::default(), now, seed);
+    members.expect(ids, now);
+    members
+}
+
 struct Net {
     now: f64,
     stewards: BTreeMap<StewardId, Members>,
@@ -32,7 +40,7 @@
 impl Net {
     fn new(count: u16, seed: u64) -> Net {
         let ids: Vec<StewardId> = (0..count).map(StewardId).collect();
-        let members = |id: &StewardId| (*id, Members::new(*id, &ids, 1, 0.0, seed));
+        let members = |id: &StewardId| (*id, member(*id, &ids, 1, 0.0, seed));
         Net {
             now: 0.0,
             stewards: ids.iter().map(members).collect(),
@@ -54,8 +62,9 @@
             && self.paused_until.get(&id).is_none_or(|at| *at <= self.now)
     }
 
-    fn send(&mut self, from: StewardId, mail: Vec<(StewardId, Message)>) {
+    fn send(&mut self, from: StewardId, mail: Mail) {
         for (to, message) in mail {
+            let To::Steward(to) = to else { continue };
             let cut = self.cut.contains(&(from, to)) || self.chance.random::<f64>() < self.lost;
             let way = WAY.0 + (WAY.1 - WAY.0) * self.chance.random::<f64>();
             let slow = |id: &StewardId| self.slow.get(id).copied().unwrap_or(0.0);
@@ -91,7 +100,7 @@
                     continue;
                 }
                 let now = self.now;
-                let (mail, changed) = self.stewards.get_mut(&to).expect("known").hear(now, from, &message);
+                let (mail, changed) = self.stewards.get_mut(&to).expect("known").hear(now, &message);
                 self.send(to, mail);
                 self.note(to, changed);
             }
@@ -127,7 +136,7 @@
             assert_eq!(net.standing(viewer, 2), Standing::Dead, "seed {seed}, {viewer}");
         }
         let ids: Vec<StewardId> = (0..5).map(StewardId).collect();
-        net.stewards.insert(StewardId(2), Members::new(StewardId(2), &ids, 2, 10.0, seed + 1));
+        net.stewards.insert(StewardId(2), member(StewardId(2), &ids, 2, 10.0, seed + 1));
         net.down.clear();
         net.run(16.0);
         for viewer in [0, 1, 3, 4] {
--- /dev/null
+++ b/crates/railhub-steward/src/fleet.rs
@@ -0,0 +1,336 @@
+//! A steward's part in the fleet of stewards: a thread and a socket round the office, which decides all of it.
+//!
+//! The way of one datagram: the socket gives it; [`railhub_membership::packet`] drops and counts what is spoilt,
+//! foreign, of another version or too long; the office hears the message and says what to send; each letter goes to
+//! the address on its receiver's card. Whatever goes wrong here, the steward serves on: nothing else waits for it.
+use crate::kernel::Figures;
+use railhub_ini::{Complaint, Sheet};
+use railhub_membership::entry::{Card, Load};
+use railhub_membership::office::{Acts, Office, Seat};
+use railhub_membership::packet::{self, Drops, Packet, View, BYTES_MOST, SHOWN_MOST};
+use railhub_membership::swim::{Manners, Members, Shown};
+use railhub_membership::table::Defence;
+use railhub_membership::words::To;
+use railhub_membership::StewardId;
+use railhub_net::{now, seconds};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+/// Seconds the thread sleeps at most, so that it hears of its end.
+const LONGEST_SLEEP: f64 = 0.05;
+/// Seconds between two looks at the steward's own load.
+const LOAD_EVERY: f64 = 1.0;
+/// Looks at the view that are answered in a second: further ones are dropped and counted.
+const LOOKS_A_SECOND: u32 = 400;
+/// Addresses to join by.
+const SEEDS_MOST: usize = 16;
+/// Version of the program, as the others see it.
+const PROGRAM: &str = env!("CARGO_PKG_VERSION");
+
+/// What the file says of the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetTerms {
+    pub id: StewardId,
+    /// Datagrams of other installations are dropped.
+    pub installation: String,
+    pub listen: SocketAddr,
+    /// Where the others reach us, if it is not where we listen.
+    pub advertise: Option<SocketAddr>,
+    pub join: Vec<SocketAddr>,
+    pub forget_after: f64,
+    /// A defence that is left out: for tests of the judge alone.
+    pub without: Option<Defence>,
+    /// Digest of the file, but for what each steward has of its own.
+    pub settings: u64,
+}
+
+impl FleetTerms {
+    /// The `[fleet]` section, if there is one.
+    ///
+    /// # Errors
+    /// What is wrong, with its line.
+    pub fn read(sheet: &Sheet) -> Result<Option<FleetTerms>, Complaint> {
+        let fleet = sheet.section("fleet");
+        if !fleet.is_there() {
+            return Ok(None);
+        }
+        let installation: String = fleet.need("installation")?;
+        if installation.is_empty() || installation.len() > packet::NAME_MOST {
+            return Err(fleet.wrong("installation", format!("needs 1 to {} bytes", packet::NAME_MOST)));
+        }
+        let join = fleet.list("join").into_iter().map(|text| {
+            text.parse().map_err(|_| fleet.wrong("join", format!("cannot be '{text}': addresses are needed")))
+        });
+        let join: Vec<SocketAddr> = join.collect::<Result<_, _>>()?;
+        if join.len() > SEEDS_MOST {
+            return Err(
+                fleet.wrong("join", format!("has {} addresses, {SEEDS_MOST} at the most", join.len()))
+            );
+        }
+        let defences = [
+            ("nothing", None),
+            ("refutation", Some(Defence::Refutation)),
+            ("asking the dead", Some(Defence::AskingTheDead)),
+            ("process", Some(Defence::Process)),
+            ("anti-entropy", Some(Defence::AntiEntropy)),
+            ("rumour bound", Some(Defence::RumourBound)),
+            ("own trouble", Some(Defence::OwnTrouble)),
+            ("additions", Some(Defence::Additions)),
+        ];
+        let own = |section: &str, key: &str| {
+            section == "fleet" && key != "installation"
+                || section == "steward" && matches!(key, "listen" | "traffic")
+        };
+        let terms = FleetTerms {
+            id: StewardId(fleet.need_within("id", 0.0, f64::from(u16::MAX - 1))? as u16),
+            installation,
+            listen: fleet.or("listen", SocketAddr::from(([127, 0, 0, 1], 0)))?,
+            advertise: fleet.text("advertise").map(|_| fleet.need("advertise")).transpose()?,
+            join,
+            forget_after: fleet.within("forget_after", 600.0, 1.0, 1e6)?,
+            without: fleet.choice("without", "nothing", &defences)?,
+            settings: sheet.digest(own),
+        };
+        fleet.done()?;
+        Ok(Some(terms))
+    }
+}
+
+/// What the thread has seen, for the log.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct FleetFigures {
+    pub alive: usize,
+    pub sent: u64,
+    pub heard: u64,
+    pub dropped: Drops,
+    pub looks_dropped: u64,
+    pub yielded: bool,
+}
+
+/// The service; dropping it ends the thread without a word to the others, as a crash would.
+pub struct FleetService {
+    pub address: SocketAddr,
+    ends: Arc<AtomicBool>,
+    leaves: Arc<AtomicBool>,
+    shown: Arc<Mutex<FleetFigures>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl FleetService {
+    /// # Errors
+    /// The address cannot be listened on.
+    pub fn start(terms: &FleetTerms, steward: Arc<Mutex<Figures>>, slices: u16) -> io::Result<FleetService> {
+        let socket = UdpSocket::bind(terms.listen)?;
+        let address = socket.local_addr()?;
+        let (ends, leaves) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let shown = Arc::new(Mutex::new(FleetFigures::default()));
+        let mut desk = Desk {
+            office: Office::new(&seat(terms, address), now()),
+            socket,
+            installation: terms.installation.clone(),
+            figures: FleetFigures::default(),
+            shown: shown.clone(),
+            steward,
+            slices,
+            load_at: 0.0,
+            cpu: (now(), cpu_seconds()),
+            looks: (0.0, 0),
+        };
+        tracing::info!(id = terms.id.0, process = desk.members().life().process, %address, "the steward is in the fleet");
+        let (stop, leave) = (ends.clone(), leaves.clone());
+        let thread =
+            std::thread::Builder::new().name("fleet".into()).spawn(move || desk.run(&stop, &leave))?;
+        Ok(FleetService { address, ends, leaves, shown, thread: Some(thread) })
+    }
+
+    pub fn figures(&self) -> FleetFigures {
+        self.shown.lock().expect("no holder panics").clone()
+    }
+
+    /// Tells the others that we go, and ends.
+    pub fn leave(&mut self) {
+        self.leaves.store(true, Ordering::Release);
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.ends.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for FleetService {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn seat(terms: &FleetTerms, address: SocketAddr) -> Seat<'static> {
+    static ALONE: BTreeMap<StewardId, f64> = BTreeMap::new();
+    // Microseconds since 1970: higher than any earlier process of ours, unless the clock was set back, which the
+    // others tell us then.
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let process = since.as_micros() as u64;
+    let card = Card {
+        address: Some(terms.advertise.unwrap_or(address)),
+        program: PROGRAM.to_owned(),
+        protocol: u32::from(packet::VERSION),
+        settings: terms.settings,
+        drains: false,
+    };
+    let manners =
+        Manners { seeds: terms.join.clone(), forget_after: terms.forget_after, without: terms.without };
+    Seat { me: terms.id, process, weights: &ALONE, card, manners, slices: 0, span: 3.0, seed: process }
+}
+
+/// Seconds of processor time that this process took.
+fn cpu_seconds() -> f64 {
+    // SAFETY: the call fills in one rusage, for which all zeroes are a value.
+    let usage = unsafe {
+        let mut usage = std::mem::zeroed::<libc::rusage>();
+        libc::getrusage(libc::RUSAGE_SELF, &mut usage);
+        usage
+    };
+    let of = |time: libc::timeval| time.tv_sec as f64 + time.tv_usec as f64 / 1e6;
+    of(usage.ru_utime) + of(usage.ru_stime)
+}
+
+struct Desk {
+    office: Office,
+    socket: UdpSocket,
+    installation: String,
+    figures: FleetFigures,
+    shown: Arc<Mutex<FleetFigures>>,
+    steward: Arc<Mutex<Figures>>,
+    slices: u16,
+    load_at: f64,
+    /// When processor time was looked at, and how much it was.
+    cpu: (f64, f64),
+    /// The second that looks are counted in, and how many there were.
+    looks: (f64, u32),
+}
+
+impl Desk {
+    fn members(&self) -> &Members {
+        self.office.members()
+    }
+
+    fn run(&mut self, ends: &AtomicBool, leaves: &AtomicBool) {
+        let mut bytes = [0; BYTES_MOST + 1];
+        while !ends.load(Ordering::Acquire) {
+            let at = now();
+            let due = self.office.next_at(at);
+            if at >= due {
+                self.turn(at);
+                continue;
+            }
+            let wait = seconds((due - at).min(LONGEST_SLEEP)).max(std::time::Duration::from_micros(100));
+            if self.socket.set_read_timeout(Some(wait)).is_err() {
+                std::thread::sleep(wait);
+            }
+            if let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
+                self.take(&bytes[..length], from);
+            }
+            // A clock that turned while we waited for bytes is not waited for again: a flood must not hold up turns.
+            if now() >= due {
+                self.turn(now());
+            }
+        }
+        if leaves.load(Ordering::Acquire) {
+            let acts = self.office.leave(now());
+            self.carry_out(acts);
+        }
+    }
+
+    fn turn(&mut self, at: f64) {
+        if at - self.load_at >= LOAD_EVERY {
+            self.load_at = at;
+            self.look_at_load(at);
+        }
+        let acts = self.office.tick(at);
+        self.carry_out(acts);
+    }
+
+    fn look_at_load(&mut self, at: f64) {
+        let (since, before) = std::mem::replace(&mut self.cpu, (at, cpu_seconds()));
+        let busy = ((self.cpu.1 - before) / (at - since).max(0.001)) as f32;
+        let proxies = self.steward.lock().expect("no holder panics").joined as u32;
+        self.office.set_load(Load { slices: self.slices.into(), proxies, busy });
+        self.figures.alive = self.members().alive();
+        self.figures.sent = self.members().sent();
+        self.figures.yielded = self.members().has_yielded();
+        *self.shown.lock().expect("no holder panics") = self.figures.clone();
+    }
+
+    fn take(&mut self, bytes: &[u8], from: SocketAddr) {
+        match packet::decode(&self.installation, bytes) {
+            Ok(Packet::Words(message)) => {
+                self.figures.heard += 1;
+                let acts = self.office.hear(now(), &message);
+                self.carry_out(acts);
+            }
+            Ok(Packet::Look { nonce, from: first }) => self.show(nonce, first, from),
+            Ok(Packet::View(_)) => {}
+            Err(fault) => self.figures.dropped.count(fault),
+        }
+    }
+
+    fn carry_out(&mut self, acts: Acts) {
+        for (to, message) in acts.mail {
+            let address = match to {
+                To::Steward(id) => self.members().address(id),
+                To::Address(address) => Some(address),
+            };
+            let bytes = packet::encode(&self.installation, &Packet::Words(Box::new(message)));
+            // One that cannot be sent is one that was lost.
+            address.into_iter().for_each(|address| _ = self.socket.send_to(&bytes, address));
+        }
+        for change in acts.changed {
+            tracing::info!(
+                steward = change.about.0,
+                process = change.life.process,
+                count = change.life.count,
+                standing = ?change.standing,
+                withdrawn = change.withdrawn,
+                cause = change.why,
+                "the view of the fleet changes"
+            );
+        }
+    }
+
+    fn show(&mut self, nonce: u64, first: StewardId, to: SocketAddr) {
+        let at = now();
+        if at - self.looks.0 >= 1.0 {
+            self.looks = (at, 0);
+        }
+        self.looks.1 += 1;
+        if self.looks.1 > LOOKS_A_SECOND {
+            self.figures.looks_dropped += 1;
+            return;
+        }
+        let members = self.members();
+        let all = members.shown(at).into_iter().filter(|shown| shown.entry.about >= first);
+        let mut lines: Vec<Shown> = all.take(SHOWN_MOST + 1).collect();
+        let next = (lines.len() > SHOWN_MOST).then(|| lines[SHOWN_MOST].entry.about);
+        lines.truncate(SHOWN_MOST);
+        let view = View {
+            nonce,
+            viewer: members.me(),
+            process: members.life().process,
+            digest: members.digest(),
+            lines,
+            next,
+            dropped: self.figures.dropped.all(),
+            yielded: members.has_yielded(),
+        };
+        let bytes = packet::encode(&self.installation, &Packet::View(Box::new(view)));
+        let _ = self.socket.send_to(&bytes, to);
+    }
+}
--- a/crates/railhub-steward/src/installation.rs
+++ b/crates/railhub-steward/src/installation.rs
@@ -1,4 +1,5 @@
 //! What a steward is told in its file: where the others are, what it may do, and its limits.
+use crate::fleet::FleetTerms;
 use railhub::{ClassTerms, Repeat, Seconds, Terms};
 use railhub_ini::{Complaint, Section, Sheet};
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
     pub streams_most: usize,
     /// Where the operations that sums tell of are written, if anywhere.
     pub traffic: Option<PathBuf>,
+    /// Absent where this steward is alone.
+    pub fleet: Option<FleetTerms>,
 }
 
 impl Installation {
@@ -35,7 +38,7 @@
 
     pub fn read(sheet: &Sheet) -> Result<Installation, Complaint> {
         let is_class = |name: &str| name.starts_with("class ");
-        sheet.only(|name| matches!(name, "steward" | "limits") || is_class(name))?;
+        sheet.only(|name| matches!(name, "steward" | "limits" | "fleet") || is_class(name))?;
         let (mut classes, mut class_names) = (Vec::new(), Vec::new());
         for name in sheet.sections().into_iter().filter(|name| is_class(name)) {
             let section = sheet.section(&name);
@@ -61,6 +64,7 @@
             first_within: limits.within("first_within", 5.0, 0.01, 3600.0)?,
             silent_after: limits.within("silent_after", 10.0, 0.1, 3600.0)?,
             traffic: steward.text("traffic").map(PathBuf::from),
+            fleet: FleetTerms::read(sheet)?,
             streams_most: limits.within("streams_most", STREAMS_MOST as f64, 1.0, 65_535.0)? as usize,
         };
         if (installation.terms.slices > 0) != installation.store.is_some() {
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -1,4 +1,5 @@
 //! Starts a steward's parts in their order, and stops them.
+use crate::fleet::{FleetFigures, FleetService};
 use crate::inbox::{inbox, Inbox, Word};
 use crate::installation::Installation;
 use crate::kernel::Figures;
@@ -22,6 +23,8 @@
     Listen(SocketAddr, std::io::Error),
     #[error("cannot write traffic: {0}")]
     Traffic(#[from] TrafficFault),
+    #[error("cannot listen for other stewards on {0}: {1}")]
+    Fleet(SocketAddr, std::io::Error),
 }
 
 /// A steward that runs; dropping it stops it.
@@ -32,6 +35,7 @@
     owner: Option<JoinHandle<()>>,
     listener: Listener,
     _roster: Task,
+    fleet: Option<FleetService>,
 }
 
 impl Running {
@@ -50,6 +54,11 @@
         let listener =
             Listener::open(installation.listen, move |stream, _| serve(stream, &taking, &doors, streams))
                 .map_err(|e| StartFault::Listen(installation.listen, e))?;
+        let fleet = installation.fleet.as_ref().map(|terms| {
+            FleetService::start(terms, shown.clone(), installation.terms.slices)
+                .map_err(|e| StartFault::Fleet(terms.listen, e))
+        });
+        let fleet = fleet.transpose()?;
         let probes = probes::start(installation.probes_at_once, installation.probe_within, &inbox);
         let store = installation.store.map(|store| StoreWriter::start(store, inbox.clone()));
         let roster = roster::follow(installation.roster, inbox.clone());
@@ -57,13 +66,28 @@
             Owner::new(installation, inbox.clone(), Outlets { probes, store, traffic }, shown.clone());
         let owner = std::thread::spawn(move || owner.run());
         tracing::info!(address = %listener.address, "the steward listens");
-        Ok(Running { address: listener.address, inbox, shown, owner: Some(owner), listener, _roster: roster })
+        let address = listener.address;
+        Ok(Running { address, inbox, shown, owner: Some(owner), listener, _roster: roster, fleet })
     }
 
     pub fn figures(&self) -> Figures {
         self.shown.lock().expect("no holder panics").clone()
     }
 
+    /// Where other stewards reach this one, if it is in a fleet.
+    pub fn fleet_address(&self) -> Option<SocketAddr> {
+        self.fleet.as_ref().map(|fleet| fleet.address)
+    }
+
+    pub fn fleet_figures(&self) -> Option<FleetFigures> {
+        self.fleet.as_ref().map(FleetService::figures)
+    }
+
+    /// Tells the other stewards that this one goes.
+    pub fn leave(&mut self) {
+        self.fleet.iter_mut().for_each(FleetService::leave);
+    }
+
     /// Connections that could not be taken.
     pub fn failed_connections(&self) -> u64 {
         self.listener.failed()
--- a/crates/railhub-steward/tests/common/mod.rs
+++ b/crates/railhub-steward/tests/common/mod.rs
@@ -100,6 +100,7 @@
         silent_after: 30.0,
         streams_most: 1000,
         traffic: None,
+        fleet: None,
     };
     Fleet { hosts, roster, store, installation }
 }
