--- /dev/null
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -0,0 +1,475 @@
+//! Plays a plan's faults on real processes.
+use crate::bed::looker::{Asked, Events, Looker};
+use crate::bed::process::Process;
+use crate::faults::{Chaos, Fault, LinkFaults, What};
+use crate::view::sim::{How, FLAP, ROUND};
+use crate::view::{ends, Node, Seen};
+use railhub_links::udp::UdpLinks;
+use railhub_links::{Board, Crossing, Faults};
+use railhub_membership::entry::Standing;
+use railhub_membership::packet::{decode, Packet};
+use railhub_membership::table::Defence;
+use railhub_net::{now, seconds};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Datagrams kept to be sent again, and between two that are.
+const KEPT_MOST: usize = 20_000;
+const REPLAY_GAP: f64 = 0.000_05;
+/// How far back the clock is set that numbers processes, microseconds.
+const BACK: u64 = 3_600_000_000;
+/// Spoilt datagrams sent at once, and seconds between.
+const FLOOD_PIECE: u32 = 50;
+const FLOOD_GAP: f64 = 0.001;
+
+/// A run on real processes.
+#[derive(Clone, Debug)]
+pub struct Plan<'a> {
+    pub chaos: &'a Chaos,
+    pub seed: u64,
+    pub faults: &'a [Fault],
+    pub how: How,
+    /// The program that the stewards are.
+    pub binary: &'a Path,
+    /// Settings, logs, the links' record and what was seen are written here.
+    pub folder: &'a Path,
+    /// Stewards whose addresses each is given to join by; by default the first two.
+    pub join: Vec<u16>,
+    /// Stewards that are not there at the start.
+    pub later: Vec<u16>,
+}
+
+pub struct Played {
+    pub events: Vec<Seen>,
+}
+
+/// What the tap on the links learns.
+#[derive(Default)]
+struct Heard {
+    told_dead: BTreeSet<(u16, u64, u64)>,
+    last_news: f64,
+    datagrams: u64,
+    bytes: u64,
+    longest: usize,
+    kept: Vec<(String, String, Vec<u8>)>,
+}
+
+#[derive(Clone, Copy)]
+enum Due {
+    On(usize),
+    Off(usize),
+    Flap { number: usize, until: f64 },
+}
+
+struct Running {
+    process: Arc<Process>,
+    steward: u16,
+    /// Its name on the links.
+    end: String,
+}
+
+struct Bed<'a> {
+    plan: &'a Plan<'a>,
+    installation: String,
+    began: f64,
+    links: UdpLinks,
+    board: Arc<Board>,
+    nodes: BTreeMap<Node, Running>,
+    current: BTreeMap<u16, Node>,
+    /// Each steward's name on the links and public address; another one after it has moved.
+    ends: BTreeMap<u16, (String, SocketAddr)>,
+    last_node: usize,
+    asked: Asked,
+    events: Events,
+    heard: Arc<Mutex<Heard>>,
+    on: BTreeSet<usize>,
+    apart: BTreeSet<(u16, u16)>,
+    starving: BTreeMap<usize, Arc<AtomicBool>>,
+    agenda: BinaryHeap<Reverse<(u64, u64)>>,
+    dues: BTreeMap<u64, Due>,
+    last_due: u64,
+}
+
+/// Plays one run; waits for its end.
+///
+/// # Errors
+/// What could not be started, with the paths of logs.
+pub fn play(plan: &Plan) -> Result<Played, String> {
+    std::fs::create_dir_all(plan.folder).map_err(|e| format!("{}: {e}", plan.folder.display()))?;
+    let mut bed = Bed::open(plan)?;
+    bed.run()?;
+    bed.finish()
+}
+
+fn file(path: &Path) -> Result<BufWriter<File>, String> {
+    File::create(path).map(BufWriter::new).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+impl<'a> Bed<'a> {
+    fn open(plan: &'a Plan<'a>) -> Result<Bed<'a>, String> {
+        let record = file(&plan.folder.join("links.jsonl"))?;
+        let board = Arc::new(Board::new(plan.seed, Some(Box::new(record))));
+        let installation = format!("chaos-{}", plan.seed);
+        let (began, heard, events) = (now(), Arc::new(Mutex::new(Heard::default())), Events::default());
+        let tap = tap(installation.clone(), began, heard.clone(), events.clone());
+        let links = UdpLinks::open(board.clone(), tap);
+        let mut bed = Bed {
+            plan,
+            installation,
+            began,
+            links,
+            board,
+            nodes: BTreeMap::new(),
+            current: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            last_node: 0,
+            asked: Asked::default(),
+            events,
+            heard,
+            on: BTreeSet::new(),
+            apart: BTreeSet::new(),
+            starving: BTreeMap::new(),
+            agenda: BinaryHeap::new(),
+            dues: BTreeMap::new(),
+            last_due: 0,
+        };
+        for steward in 0..plan.chaos.stewards {
+            bed.add_end(steward, steward.to_string())?;
+        }
+        bed.set_links();
+        Ok(bed)
+    }
+
+    fn at(&self) -> f64 {
+        now() - self.began
+    }
+
+    fn see(&self, seen: Seen) {
+        self.events.lock().expect("no holder panics").push(seen);
+    }
+
+    fn add_end(&mut self, steward: u16, end: String) -> Result<(), String> {
+        let public = self.links.add(&end).map_err(|e| format!("no port for a link: {e}"))?;
+        self.ends.insert(steward, (end, public));
+        Ok(())
+    }
+
+    fn settings(&self, steward: u16, process: Option<u64>) -> String {
+        let public = self.ends[&steward].1;
+        let join = self.plan.join.iter().filter_map(|id| self.ends.get(id)).map(|end| end.1.to_string());
+        let join: Vec<String> = join.collect();
+        let mut text = format!(
+            "[steward]\nlisten = 127.0.0.1:0\nroster = 127.0.0.1:1\n\n[class any]\ncontract_time = 1\n\n\
+             [fleet]\nid = {steward}\ninstallation = {}\nadvertise = {public}\njoin = {}\n",
+            self.installation,
+            join.join(", "),
+        );
+        if let Some(process) = process {
+            text += &format!("process = {process}\n");
+        }
+        if self.plan.how.forget_after > 0.0 {
+            text += &format!("forget_after = {}\n", self.plan.how.forget_after);
+        }
+        text + without(self.plan.how.without)
+    }
+
+    fn start(&mut self, steward: u16, process: Option<u64>) -> Result<(), String> {
+        self.last_node += 1;
+        let node = Node(self.last_node);
+        let conf = self.plan.folder.join(format!("steward-{steward}-{}.ini", node.0));
+        let log = conf.with_extension("log");
+        std::fs::write(&conf, self.settings(steward, process))
+            .map_err(|e| format!("{}: {e}", conf.display()))?;
+        let started = Process::start(self.plan.binary, &conf, &log)?;
+        let end = self.ends[&steward].0.clone();
+        self.links.place(&end, Some(started.fleet));
+        self.asked.lock().expect("no holder panics").insert(node, started.fleet);
+        self.see(Seen::Up { at: self.at(), node, steward });
+        self.nodes.insert(node, Running { process: Arc::new(started), steward, end });
+        self.current.insert(steward, node);
+        Ok(())
+    }
+
+    fn end(&mut self, steward: u16, act: impl FnOnce(&Process)) {
+        let Some(node) = self.current.remove(&steward) else { return };
+        let Some(running) = self.nodes.remove(&node) else { return };
+        self.asked.lock().expect("no holder panics").remove(&node);
+        act(&running.process);
+        self.see(Seen::Down { at: self.at(), node, steward });
+        if self.nodes.values().all(|other| other.end != running.end) {
+            self.links.place(&running.end, None);
+        }
+    }
+
+    fn current(&self, steward: u16) -> Option<&Running> {
+        self.nodes.get(self.current.get(&steward)?)
+    }
+
+    /// Each way between two stewards as the faults that are on make it; by the names that they have now or had.
+    fn set_links(&self) {
+        let bad = self.links_now();
+        let running = self.nodes.values().map(|running| (running.end.clone(), running.steward));
+        let named = self.ends.iter().map(|(steward, (end, _))| (end.clone(), *steward));
+        let ends: BTreeMap<String, u16> = running.chain(named).collect();
+        for (a, from) in &ends {
+            for (b, to) in ends.iter().filter(|(b, _)| *b != a) {
+                let cut = crate::view::sim::is_cut(&self.on, &self.apart, self.plan.faults, *from, *to);
+                let faults = Faults { cut, ..bad };
+                if self.board.faults(a, b) != faults {
+                    self.board.set(a, b, faults);
+                }
+            }
+        }
+    }
+
+    fn links_now(&self) -> Faults {
+        let mut all = LinkFaults { lost: self.plan.chaos.lost, ..LinkFaults::default() };
+        for number in &self.on {
+            if let What::Links { faults } = self.plan.faults[*number].what {
+                all.lost = all.lost.max(faults.lost);
+                all.doubled = all.doubled.max(faults.doubled);
+                all.reordered = all.reordered.max(faults.reordered);
+                all.delay = all.delay.max(faults.delay);
+                all.jitter = all.jitter.max(faults.jitter);
+            }
+        }
+        let LinkFaults { lost, doubled, reordered, delay, jitter } = all;
+        Faults { lost, doubled, reordered, delay, jitter, ..Faults::default() }
+    }
+
+    fn due(&mut self, at: f64, due: Due) {
+        self.last_due += 1;
+        self.agenda.push(Reverse(((at * 1e6) as u64, self.last_due)));
+        self.dues.insert(self.last_due, due);
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        for (number, fault) in self.plan.faults.iter().enumerate() {
+            self.due(fault.at, Due::On(number));
+        }
+        let first: Vec<u16> =
+            (0..self.plan.chaos.stewards).filter(|id| !self.plan.later.contains(id)).collect();
+        for steward in first {
+            self.start(steward, None)?;
+        }
+        let _looker = Looker::start(&self.installation, self.began, self.asked.clone(), self.events.clone())
+            .map_err(|e| format!("no port to look from: {e}"))?;
+        let end = ends(self.plan.chaos.length, self.plan.faults);
+        while let Some(Reverse((at, number))) = self.agenda.pop() {
+            std::thread::sleep(seconds(at as f64 / 1e6 - self.at()));
+            let due = self.dues.remove(&number).expect("each due thing is kept");
+            match due {
+                Due::On(number) => self.fault_on(number)?,
+                Due::Off(number) => self.fault_off(number)?,
+                Due::Flap { number, until } => self.flap(number, until)?,
+            }
+            self.set_links();
+        }
+        std::thread::sleep(seconds(end - self.at()));
+        Ok(())
+    }
+
+    fn fault_on(&mut self, number: usize) -> Result<(), String> {
+        let Fault { at, long, what } = self.plan.faults[number].clone();
+        self.see(Seen::Fault { at: self.at(), on: true, fault: what.clone() });
+        self.on.insert(number);
+        self.due(at + long, Due::Off(number));
+        match what {
+            What::Kill { steward } | What::Backward { steward } => self.end(steward, Process::kill),
+            What::Leave { steward } => self.end(steward, Process::leave),
+            What::Pause { steward } => self.current(steward).into_iter().for_each(|one| one.process.stop()),
+            What::Starve { steward, share } => self.starve(number, steward, share),
+            What::Flap { .. } => self.flap(number, at + long)?,
+            What::Move { steward } => {
+                self.end(steward, Process::kill);
+                self.add_end(steward, format!("{steward} moved {number}"))?;
+                self.start(steward, None)?;
+            }
+            What::Twin { steward } => {
+                self.add_end(steward, format!("{steward} twin {number}"))?;
+                self.start(steward, None)?;
+            }
+            What::Apart { a, b } => _ = self.apart.insert((a.min(b), a.max(b))),
+            What::Replay => self.replay(),
+            What::Flood { steward, count } => self.flood(steward, count),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn fault_off(&mut self, number: usize) -> Result<(), String> {
+        self.on.remove(&number);
+        let what = self.plan.faults[number].what.clone();
+        match what {
+            What::Kill { steward } | What::Flap { steward } | What::Leave { steward }
+                if !self.current.contains_key(&steward) =>
+            {
+                self.start(steward, None)?;
+            }
+            What::Backward { steward } if !self.current.contains_key(&steward) => {
+                let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+                let process = since.unwrap_or_default().as_micros() as u64 - BACK;
+                self.start(steward, Some(process))?;
+            }
+            // One that is stopped twice goes on when the last of them is over.
+            What::Pause { steward } if !self.is_paused(steward) => {
+                self.current(steward).into_iter().for_each(|one| one.process.go_on());
+            }
+            What::Starve { .. } => {
+                self.starving
+                    .remove(&number)
+                    .into_iter()
+                    .for_each(|ends| ends.store(true, Ordering::Release));
+            }
+            _ => {}
+        }
+        self.see(Seen::Fault { at: self.at(), on: false, fault: what });
+        Ok(())
+    }
+
+    fn is_paused(&self, steward: u16) -> bool {
+        self.on.iter().any(|number| self.plan.faults[*number].what == What::Pause { steward })
+    }
+
+    fn flap(&mut self, number: usize, until: f64) -> Result<(), String> {
+        let What::Flap { steward } = self.plan.faults[number].what else { return Ok(()) };
+        if self.at() >= until {
+            return Ok(());
+        }
+        if self.current.contains_key(&steward) {
+            self.end(steward, Process::kill);
+        } else {
+            self.start(steward, None)?;
+        }
+        let next = self.at() + FLAP;
+        self.due(next, Due::Flap { number, until });
+        Ok(())
+    }
+
+    /// Stops and goes on in short turns, so that the process gets a share of its time.
+    fn starve(&mut self, number: usize, steward: u16, share: f64) {
+        let Some(running) = self.current(steward) else { return };
+        let (process, ends) = (running.process.clone(), Arc::new(AtomicBool::new(false)));
+        self.starving.insert(number, ends.clone());
+        std::thread::spawn(move || {
+            while !ends.load(Ordering::Acquire) {
+                process.stop();
+                std::thread::sleep(seconds(ROUND * (1.0 - share)));
+                process.go_on();
+                std::thread::sleep(seconds(ROUND * share));
+            }
+            process.go_on();
+        });
+    }
+
+    fn replay(&self) {
+        let kept = self.heard.lock().expect("no holder panics").kept.clone();
+        for (from, to, bytes) in kept {
+            self.links.inject(&from, &to, &bytes);
+            std::thread::sleep(seconds(REPLAY_GAP));
+        }
+    }
+
+    /// Datagrams that were heard before, spoilt at one place; of another installation; too long; of chance alone.
+    fn flood(&self, steward: u16, count: u32) {
+        let mut chance = ChaCha8Rng::seed_from_u64(self.plan.seed);
+        let kept = self.heard.lock().expect("no holder panics").kept.clone();
+        let to = self.ends[&steward].0.clone();
+        let Some(from) = self.ends.values().map(|end| end.0.clone()).find(|end| *end != to) else { return };
+        for number in 0..count {
+            let mut bytes = match kept.get(chance.random_range(0..kept.len().max(1))) {
+                Some((_, _, bytes)) => bytes.clone(),
+                None => vec![0; 40],
+            };
+            let place = chance.random_range(0..bytes.len());
+            match number % 4 {
+                0 => bytes[place] ^= 1 << chance.random_range(0..8u32),
+                1 => bytes.truncate(place),
+                2 => bytes.resize(2000, 7),
+                _ => bytes.iter_mut().for_each(|byte| *byte = chance.random()),
+            }
+            self.links.inject(&from, &to, &bytes);
+            if number % FLOOD_PIECE == 0 {
+                std::thread::sleep(seconds(FLOOD_GAP));
+            }
+        }
+    }
+
+    fn finish(self) -> Result<Played, String> {
+        self.starving.values().for_each(|ends| ends.store(true, Ordering::Release));
+        self.board.finish();
+        let at = self.at();
+        self.nodes.values().for_each(|running| running.process.kill());
+        let mut events = std::mem::take(&mut *self.events.lock().expect("no holder panics"));
+        let heard = self.heard.lock().expect("no holder panics");
+        events.push(Seen::LastNews { at: heard.last_news });
+        let (datagrams, bytes, longest) = (heard.datagrams, heard.bytes, heard.longest);
+        events.push(Seen::Sent { at, datagrams, bytes, longest });
+        events.sort_by(|a, b| a.at().total_cmp(&b.at()));
+        let mut record = file(&self.plan.folder.join("seen.jsonl"))?;
+        for event in &events {
+            let written = serde_json::to_writer(&mut record, event).map_err(|e| e.to_string());
+            written.and_then(|()| record.write_all(b"\n").map_err(|e| e.to_string()))?;
+        }
+        Ok(Played { events })
+    }
+}
+
+fn without(defence: Option<Defence>) -> &'static str {
+    match defence {
+        None => "",
+        Some(Defence::Refutation) => "without = refutation\n",
+        Some(Defence::AskingTheDead) => "without = asking the dead\n",
+        Some(Defence::Process) => "without = process\n",
+        Some(Defence::AntiEntropy) => "without = anti-entropy\n",
+        Some(Defence::RumourBound) => "without = rumour bound\n",
+        Some(Defence::OwnTrouble) => "without = own trouble\n",
+        Some(Defence::Additions) => "without = additions\n",
+    }
+}
+
+/// Reads what crosses between stewards.
+fn tap(
+    installation: String,
+    began: f64,
+    heard: Arc<Mutex<Heard>>,
+    events: Events,
+) -> Box<dyn Fn(&Crossing) + Send + Sync> {
+    Box::new(move |crossing| {
+        let Ok(Packet::Words(message)) = decode(&installation, crossing.bytes) else { return };
+        let mut heard = heard.lock().expect("no holder panics");
+        heard.datagrams += 1;
+        heard.bytes += crossing.bytes.len() as u64;
+        heard.longest = heard.longest.max(crossing.bytes.len());
+        if heard.kept.len() < KEPT_MOST {
+            let (from, to) = (crossing.from.to_owned(), crossing.to.to_owned());
+            heard.kept.push((from, to, crossing.bytes.to_vec()));
+        }
+        let at = crossing.at - began;
+        for word in &message.news {
+            let receiver = crossing.to.split(' ').next().and_then(|id| id.parse().ok());
+            if receiver != Some(word.about.0) {
+                heard.last_news = at;
+            }
+            let life = (word.about.0, word.life.process, word.life.count);
+            if word.standing == Standing::Dead && heard.told_dead.insert(life) {
+                let (by, (about, process, count)) = (message.from.about.0, life);
+                let seen = Seen::Dead { at, by, about, process, count };
+                events.lock().expect("no holder panics").push(seen);
+            }
+        }
+    })
+}
+
+/// A folder of its own for a run that is not kept.
+pub fn scratch(seed: u64) -> PathBuf {
+    std::env::temp_dir().join(format!("railhub-bed-{}-{seed}", std::process::id()))
+}
--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -9,6 +9,8 @@
 const CALM: f64 = 6.0;
 /// Seconds that stewards are paused for: below a lease, above it, far above it.
 const PAUSES: [f64; 3] = [1.0, 5.0, 30.0];
+/// Seconds that splits last: too short for a death, and long enough for two.
+const SPLITS: [f64; 3] = [2.0, 10.0, 25.0];
 /// Share that clocks run fast or slow at the most, and seconds they jump.
 const DRIFT: f64 = 0.05;
 const JUMP: f64 = 20.0;
@@ -59,6 +61,54 @@
     Flap {
         steward: u16,
     },
+    /// The two cannot reach each other any more; others reach both, so nobody dies.
+    Apart {
+        a: u16,
+        b: u16,
+    },
+    /// What stewards say to each other is lost in part, comes late, twice, or out of order.
+    Links {
+        faults: LinkFaults,
+    },
+    /// It gets so large a share of its time, in short pieces.
+    Starve {
+        steward: u16,
+        share: f64,
+    },
+    /// Its process ends, and one of the same name starts at once at another address.
+    Move {
+        steward: u16,
+    },
+    /// A second process starts under its name, at another address.
+    Twin {
+        steward: u16,
+    },
+    /// All that has been said up to now is sent once more.
+    Replay,
+    /// So many spoilt, foreign and senseless datagrams come to it.
+    Flood {
+        steward: u16,
+        count: u32,
+    },
+    /// It says that it goes, goes, and starts again after the fault's time.
+    Leave {
+        steward: u16,
+    },
+    /// Killed; the clock that numbers processes is set back an hour before it starts again.
+    Backward {
+        steward: u16,
+    },
+}
+
+/// What is wrong with all ways between stewards.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct LinkFaults {
+    pub lost: f64,
+    pub doubled: f64,
+    pub reordered: f64,
+    /// Seconds, and up to so many more.
+    pub delay: f64,
+    pub jitter: f64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -82,6 +132,16 @@
     pub faults_most: usize,
     /// Share of messages between stewards that are lost.
     pub lost: f64,
+    /// What is judged.
+    pub judged: Judged,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judged {
+    /// Who orders what, in simulated time.
+    Leases,
+    /// What stewards hold of each other, in simulated time or on loopback.
+    View,
 }
 
 impl Chaos {
@@ -101,6 +161,11 @@
             span: section.within("span", 3.0, 0.5, 60.0)?,
             faults_most: section.within("faults_most", 5.0, 0.0, 100.0)? as usize,
             lost: section.within("lost", 0.01, 0.0, 0.5)?,
+            judged: section.choice(
+                "judge",
+                "leases",
+                &[("leases", Judged::Leases), ("view", Judged::View)],
+            )?,
         };
         section.done()?;
         Ok(chaos)
@@ -110,11 +175,52 @@
     pub fn faults(&self, seed: u64) -> Vec<Fault> {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         let count = chance.random_range(0..=self.faults_most);
-        let mut faults: Vec<Fault> = (0..count).map(|_| self.fault(&mut chance)).collect();
+        let one = |chance: &mut ChaCha8Rng| match self.judged {
+            Judged::Leases => self.fault(chance),
+            Judged::View => self.view_fault(chance),
+        };
+        let mut faults: Vec<Fault> = (0..count).map(|_| one(&mut chance)).collect();
         faults.sort_by(|a, b| a.at.total_cmp(&b.at));
         faults
     }
 
+    fn view_fault(&self, chance: &mut ChaCha8Rng) -> Fault {
+        let at = CALM + chance.random::<f64>() * (self.length - 2.0 * CALM).max(0.0);
+        let usual = 1.0 + chance.random::<f64>() * 9.0;
+        let steward = chance.random_range(0..self.stewards);
+        let other = (steward + chance.random_range(1..self.stewards.max(2))) % self.stewards;
+        let part = chance.random::<f64>();
+        let bad = LinkFaults {
+            lost: 0.4 * part,
+            doubled: 0.2 * chance.random::<f64>(),
+            reordered: 0.3 * chance.random::<f64>(),
+            delay: 0.02 * chance.random::<f64>(),
+            jitter: 0.03 * chance.random::<f64>(),
+        };
+        let (long, what) = match chance.random_range(0..18u32) {
+            0 | 1 => (usual, What::Kill { steward }),
+            2 => (PAUSES[chance.random_range(0..PAUSES.len())], What::Pause { steward }),
+            3 => (usual, What::Cut { from: steward, to: other }),
+            4 => {
+                let side = chance.random_range(1..(1u32 << self.stewards).max(3) - 1);
+                (SPLITS[chance.random_range(0..SPLITS.len())], What::Split { side })
+            }
+            5 => (SPLITS[chance.random_range(0..SPLITS.len())], What::Split { side: 1 << steward }),
+            6 | 7 => (usual, What::Links { faults: bad }),
+            8 => (usual, What::Starve { steward, share: 0.1 + 0.5 * part }),
+            9 => (0.0, What::Move { steward }),
+            10 => (0.0, What::Replay),
+            11 => (usual, What::Flap { steward }),
+            12 => (usual, What::Leave { steward }),
+            13 => (0.3 + 0.4 * part, What::Kill { steward }),
+            14 => (usual, What::Backward { steward }),
+            // Of a pair each, so that whoever is left reaches both.
+            15 | 16 if steward ^ 1 < self.stewards => (0.0, What::Apart { a: steward, b: steward ^ 1 }),
+            _ => (0.0, What::Flood { steward, count: 2000 }),
+        };
+        Fault { at, long, what }
+    }
+
     fn fault(&self, chance: &mut ChaCha8Rng) -> Fault {
         let at = CALM + chance.random::<f64>() * (self.length - 2.0 * CALM).max(0.0);
         let usual = 1.0 + chance.random::<f64>() * 9.0;
--- a/crates/railhub-cli/src/chaos.rs
+++ b/crates/railhub-cli/src/chaos.rs
@@ -4,7 +4,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use railhub_chaos::judge::{figures, judge, Breach};
 use railhub_chaos::shrink::shrink;
-use railhub_chaos::{run as play, Chaos, Fault, Sabotage};
+use railhub_chaos::{run as play, Chaos, Fault, Judged, Sabotage};
+use railhub_membership::table::Defence;
 use serde::Serialize;
 use std::io::IsTerminal;
 use std::path::PathBuf;
@@ -17,20 +18,29 @@
     file: PathBuf,
     /// The first seed.
     #[arg(long, default_value_t = 0)]
-    seed: u64,
+    pub seed: u64,
     /// Runs, one a seed.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..10_000_000))]
-    runs: u64,
+    pub runs: u64,
     /// Breaks what the rules rest on: the checker must find it.
     #[arg(long, value_enum)]
-    sabotage: Option<Broken>,
+    pub sabotage: Option<Broken>,
+    /// On real processes, with links between them that break; for files that judge the view.
+    #[arg(long)]
+    pub loopback: bool,
+    /// Runs on real processes at once.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..64))]
+    pub at_once: u64,
+    /// Where settings, logs, records and verdicts of runs on real processes are kept.
+    #[arg(long)]
+    pub keep: Option<PathBuf>,
     /// One JSON object on standard output.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
-enum Broken {
+pub enum Broken {
     /// Proxies obey whatever comes.
     NoFence,
     /// The store grants under an epoch that it has used.
@@ -39,16 +49,44 @@
     LeaseOverrun,
     /// Proxies take an order that is sent again once more.
     NoMemory,
+    /// Views: one that is suspected does not say otherwise.
+    NoRefutation,
+    /// Views: the dead are never asked again.
+    DeadNotAsked,
+    /// Views: words of older processes count.
+    ProcessIgnored,
+    /// Views: they are never compared.
+    NoAntiEntropy,
+    /// Views: rumours are passed on for ever.
+    EndlessRumours,
+    /// Views: an observer never doubts itself.
+    NoOwnTrouble,
+    /// Views: SWIM as it was first published.
+    NoAdditions,
 }
 
 impl Broken {
-    fn how(self) -> Sabotage {
-        match self {
+    fn how(self) -> Option<Sabotage> {
+        Some(match self {
             Broken::NoFence => Sabotage::NoFence,
             Broken::EpochReused => Sabotage::EpochReused,
             Broken::LeaseOverrun => Sabotage::LeaseOverrun,
             Broken::NoMemory => Sabotage::NoMemory,
-        }
+            _ => return None,
+        })
+    }
+
+    pub fn without(self) -> Option<Defence> {
+        Some(match self {
+            Broken::NoRefutation => Defence::Refutation,
+            Broken::DeadNotAsked => Defence::AskingTheDead,
+            Broken::ProcessIgnored => Defence::Process,
+            Broken::NoAntiEntropy => Defence::AntiEntropy,
+            Broken::EndlessRumours => Defence::RumourBound,
+            Broken::NoOwnTrouble => Defence::OwnTrouble,
+            Broken::NoAdditions => Defence::Additions,
+            _ => return None,
+        })
     }
 }
 
@@ -78,7 +116,17 @@
 
 pub fn run(arguments: &ChaosArguments) -> Result<(), Ending> {
     let chaos = Chaos::open(&arguments.file)?;
+    if chaos.judged == Judged::View {
+        return crate::chaos_view::run(&chaos, arguments);
+    }
+    if arguments.loopback {
+        return Err(Ending::Input("--loopback plays files with judge = view; leases are simulated".into()));
+    }
     let sabotage = arguments.sabotage.map(Broken::how);
+    if sabotage == Some(None) {
+        return Err(Ending::Input("that sabotage is of views; this file judges leases".into()));
+    }
+    let sabotage = sabotage.flatten();
     let bar = match std::io::stderr().is_terminal() {
         true => ProgressBar::new(arguments.runs),
         false => ProgressBar::hidden(),
--- /dev/null
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -0,0 +1,229 @@
+//! `railhub chaos` for files that judge the view: in simulated time, or on real processes.
+use crate::chaos::ChaosArguments;
+use crate::Ending;
+use railhub_chaos::bed::{play, scratch, Plan};
+use railhub_chaos::judge::Breach;
+use railhub_chaos::view::judge::{figures, judge, ViewFigures};
+use railhub_chaos::view::sim::{run as simulate, How};
+use railhub_chaos::view::Seen;
+use railhub_chaos::{Chaos, Fault};
+use serde::Serialize;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// A run that broke a rule.
+#[derive(Clone, Serialize)]
+struct Failed {
+    seed: u64,
+    breaches: Vec<Breach>,
+    faults: Vec<Fault>,
+    /// Where its logs are, if it was played on real processes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    folder: Option<PathBuf>,
+    /// The same faults in simulated time: whether that breaks the same rule, and with how few of them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    simulated: Option<Vec<Fault>>,
+}
+
+#[derive(Serialize)]
+struct Told {
+    chaos: String,
+    how: &'static str,
+    first_seed: u64,
+    runs: u64,
+    failed: u64,
+    seeds_failed: Vec<u64>,
+    first: Option<Failed>,
+    /// Seconds from the last fault to all views true: half of the runs, 99 of 100.
+    settled_half: Option<f64>,
+    settled_99: Option<f64>,
+    /// Seconds from a death that was followed by no new start to each that shows it.
+    deaths_shown: usize,
+    known_half: Option<f64>,
+    known_99: Option<f64>,
+    /// Words of death about the living, whatever went on, an hour of a run.
+    slanders_an_hour: f64,
+    /// A steward and second.
+    datagrams: f64,
+    bytes: f64,
+}
+
+pub fn run(chaos: &Chaos, arguments: &ChaosArguments) -> Result<(), Ending> {
+    let without = arguments.sabotage.map(|broken| broken.without());
+    if without == Some(None) {
+        return Err(Ending::Input("that sabotage is of leases; this file judges views".into()));
+    }
+    let how = How { without: without.flatten(), forget_after: 0.0 };
+    let threads = match arguments.loopback {
+        true => arguments.at_once as usize,
+        false => std::thread::available_parallelism().map_or(1, |n| n.get()),
+    };
+    let (next, all) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= arguments.runs {
+                    return;
+                }
+                let seed = arguments.seed + number;
+                let run = one(chaos, seed, how, arguments);
+                all.lock().expect("no holder panics").push((seed, run));
+            });
+        }
+    });
+    let mut all = all.into_inner().expect("no holder panics");
+    all.sort_by_key(|(seed, _)| *seed);
+    let mut runs = Vec::new();
+    for (seed, run) in all {
+        runs.push(run.map_err(|what| Ending::Input(format!("seed {seed}: {what}")))?);
+    }
+    let told = sum_up(chaos, arguments, &runs);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&told)?);
+    } else {
+        print!("{}", words(&told));
+    }
+    if told.failed == 0 {
+        Ok(())
+    } else {
+        Err(Ending::Check)
+    }
+}
+
+struct Ran {
+    length: f64,
+    figures: ViewFigures,
+    failed: Option<Failed>,
+}
+
+fn one(chaos: &Chaos, seed: u64, how: How, arguments: &ChaosArguments) -> Result<Ran, String> {
+    let faults = chaos.faults(seed);
+    let (events, folder) = match arguments.loopback {
+        false => (simulate(chaos, seed, &faults, how), None),
+        true => {
+            let folder = arguments.keep.as_ref().map(|keep| keep.join(format!("seed-{seed}")));
+            let folder = folder.unwrap_or_else(|| scratch(seed));
+            (on_loopback(chaos, seed, &faults, how, &folder)?, Some(folder))
+        }
+    };
+    let breaches = judge(&events);
+    let length = events.iter().map(Seen::at).fold(0.0, f64::max);
+    let figures = figures(&events);
+    if let Some(folder) = folder.as_ref().filter(|_| arguments.keep.is_some()) {
+        let verdict = serde_json::json!({ "seed": seed, "breaches": breaches, "figures": figures });
+        std::fs::write(folder.join("verdict.json"), verdict.to_string()).map_err(|e| e.to_string())?;
+    }
+    let failed = (!breaches.is_empty()).then(|| {
+        let rule = breaches[0].rule;
+        let simulated = shrink(chaos, seed, &faults, how, rule);
+        Failed { seed, breaches, faults, folder: folder.clone(), simulated }
+    });
+    if let Some(folder) = folder.filter(|_| arguments.keep.is_none() && failed.is_none()) {
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    Ok(Ran { length, figures, failed })
+}
+
+fn on_loopback(
+    chaos: &Chaos,
+    seed: u64,
+    faults: &[Fault],
+    how: How,
+    folder: &std::path::Path,
+) -> Result<Vec<Seen>, String> {
+    let binary = std::env::current_exe().map_err(|e| format!("this program cannot be found: {e}"))?;
+    let (binary, join) = (binary.as_path(), vec![0, 1]);
+    let plan = Plan { chaos, seed, faults, how, binary, folder, join, later: Vec::new() };
+    play(&plan).map(|played| played.events)
+}
+
+/// The fewest of the faults that break the same rule in simulated time; `None`: they do not break it there.
+fn shrink(chaos: &Chaos, seed: u64, faults: &[Fault], how: How, rule: &str) -> Option<Vec<Fault>> {
+    let breaks = |faults: &[Fault]| {
+        judge(&simulate(chaos, seed, faults, how)).iter().any(|breach| breach.rule == rule)
+    };
+    let mut left = breaks(faults).then(|| faults.to_vec())?;
+    let mut place = 0;
+    while place < left.len() {
+        let mut fewer = left.clone();
+        fewer.remove(place);
+        if breaks(&fewer) {
+            left = fewer;
+        } else {
+            place += 1;
+        }
+    }
+    Some(left)
+}
+
+fn at(sorted: &[f64], share: f64) -> Option<f64> {
+    sorted.get(((sorted.len().max(1) - 1) as f64 * share).round() as usize).copied()
+}
+
+fn sum_up(chaos: &Chaos, arguments: &ChaosArguments, runs: &[Ran]) -> Told {
+    let mut settled: Vec<f64> = runs.iter().filter_map(|run| run.figures.settled).collect();
+    let mut known: Vec<f64> = runs.iter().flat_map(|run| run.figures.known.clone()).collect();
+    settled.sort_by(f64::total_cmp);
+    known.sort_by(f64::total_cmp);
+    let count = runs.len().max(1) as f64;
+    let hours = runs.iter().map(|run| run.length).sum::<f64>() / 3600.0;
+    let slanders: u64 = runs.iter().map(|run| run.figures.slanders).sum();
+    let failed: Vec<&Failed> = runs.iter().filter_map(|run| run.failed.as_ref()).collect();
+    Told {
+        chaos: chaos.name.clone(),
+        how: if arguments.loopback { "loopback" } else { "simulated" },
+        first_seed: arguments.seed,
+        runs: arguments.runs,
+        failed: failed.len() as u64,
+        seeds_failed: failed.iter().map(|failed| failed.seed).collect(),
+        first: failed.first().map(|first| (*first).clone()),
+        settled_half: at(&settled, 0.5),
+        settled_99: at(&settled, 0.99),
+        deaths_shown: known.len(),
+        known_half: at(&known, 0.5),
+        known_99: at(&known, 0.99),
+        slanders_an_hour: slanders as f64 / hours.max(1e-9),
+        datagrams: runs.iter().map(|run| run.figures.datagrams).sum::<f64>() / count,
+        bytes: runs.iter().map(|run| run.figures.bytes).sum::<f64>() / count,
+    }
+}
+
+fn words(told: &Told) -> String {
+    let last = told.first_seed + told.runs - 1;
+    let mut out = format!("{}, {}, seeds {} to {last}\n", told.chaos, told.how, told.first_seed);
+    if let (Some(half), Some(of_99)) = (told.settled_half, told.settled_99) {
+        out += &format!(
+            "all views true after the last fault: half within {half:.2} s, 99 % within {of_99:.2} s\n"
+        );
+    }
+    if let (Some(half), Some(of_99)) = (told.known_half, told.known_99) {
+        let count = told.deaths_shown;
+        out +=
+            &format!("a death is shown ({count} times): half within {half:.2} s, 99 % within {of_99:.2} s\n");
+    }
+    out += &format!(
+        "{:.1} words of death about the living an hour; {:.1} datagrams and {:.0} bytes a steward and second\n",
+        told.slanders_an_hour, told.datagrams, told.bytes
+    );
+    out += &format!("{} of {} runs broke a rule\n", told.failed, told.runs);
+    let Some(first) = &told.first else { return out };
+    out += &format!("seed {}:\n", first.seed);
+    for breach in &first.breaches {
+        out += &format!("  {:.3} s: {}: {}\n", breach.at, breach.rule, breach.what);
+    }
+    let faults = first.simulated.as_ref().unwrap_or(&first.faults);
+    out += match (&first.folder, &first.simulated) {
+        (Some(_), Some(_)) => "in simulated time it breaks the same rule with no more than:\n",
+        (Some(_), None) => "in simulated time the same faults break no such rule:\n",
+        _ => "with no more than:\n",
+    };
+    for fault in faults {
+        out += &format!("  {:.2} s, for {:.2} s: {:?}\n", fault.at, fault.long, fault.what);
+    }
+    if let Some(folder) = &first.folder {
+        out += &format!("logs and records: {}\n", folder.display());
+    }
+    out
+}
--- a/crates/railhub-cli/src/steward.rs
+++ b/crates/railhub-cli/src/steward.rs
@@ -6,13 +6,18 @@
 use railhub_platform_net::Signals;
 use railhub_steward::{Installation, Running};
 use serde::Serialize;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Between lines of figures in the log.
 const FIGURES_EVERY: Duration = Duration::from_secs(10);
+/// Between looks at whether it was told to end.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 #[derive(Args)]
 pub struct StewardArguments {
@@ -30,6 +35,11 @@
 #[derive(Serialize)]
 struct Listening {
     listening: SocketAddr,
+    /// Where other stewards reach it and which process it is, if it is in a fleet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fleet: Option<SocketAddr>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    process: Option<u64>,
 }
 
 /// The variable that names the platform's file; the others say nothing that it does not.
@@ -47,8 +57,16 @@
         return Ok(railhub_platform_net::run(&file, signals)?);
     }
     let Some(conf) = &arguments.conf else { return Err(Ending::Input("--conf names no file".into())) };
-    let running = Running::start(Installation::open(conf)?)?;
-    let listening = Listening { listening: running.address };
+    let mut running = Running::start(Installation::open(conf)?)?;
+    let (fleet, process) = (running.fleet_address(), running.fleet_process());
+    let listening = Listening { listening: running.address, fleet, process };
+    let told = Arc::new(AtomicBool::new(false));
+    if fleet.is_some() {
+        // The others are told: they need not find out by waiting.
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, told.clone())?;
+        }
+    }
     println!("{}", serde_json::to_string(&listening)?);
     std::io::stdout().flush()?;
     if arguments.until_stdin_ends {
@@ -57,8 +75,23 @@
             std::process::exit(0);
         });
     }
+    let mut figures_at = Instant::now() + FIGURES_EVERY;
     loop {
-        std::thread::sleep(FIGURES_EVERY);
+        std::thread::sleep(LOOK_EVERY);
+        if told.load(Ordering::Acquire) {
+            running.leave();
+            return Ok(());
+        }
+        if Instant::now() < figures_at {
+            continue;
+        }
+        figures_at = Instant::now() + FIGURES_EVERY;
+        if let Some(fleet) = running.fleet_figures() {
+            let (dropped, looks_dropped) = (fleet.dropped.all(), fleet.looks_dropped);
+            let causes = serde_json::to_string(&fleet.dropped)?;
+            let (alive, sent, heard) = (fleet.alive, fleet.sent, fleet.heard);
+            tracing::info!(alive, sent, heard, dropped, causes, looks_dropped, "figures of the fleet");
+        }
         let figures = running.figures();
         tracing::info!(
             joined = figures.joined,
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -47,7 +47,7 @@
 /// have forgotten each other still meet.
 const SEEK: Seconds = 0.3;
 const SEEK_MOST: Seconds = 3.0;
-const SEEK_SLOWLY: Seconds = 20.0;
+const SEEK_SLOWLY: Seconds = 60.0;
 /// Seconds in which a process of our name with a higher number must speak, or it is one of our past.
 const CLAIM_FOR: Seconds = 2.0;
 /// Seconds that another's word on who stands out counts.
@@ -559,7 +559,7 @@
         self.wake(now);
         match self.take_in(now, &message.from, "it says so itself", &mut changed) {
             Learnt::Old | Learnt::Full => {
-                self.tell_off(&message.from, &mut mail);
+                self.hear_old(now, message, &mut mail, &mut changed);
                 return (mail, changed);
             }
             _ => {}
@@ -579,9 +579,14 @@
         (mail, changed)
     }
 
-    /// A process that was followed or forgotten is told, at the address that it gives.
-    fn tell_off(&mut self, old: &Entry, mail: &mut Mail) {
-        let Some(address) = old.card.address else { return };
+    /// A process that was followed or forgotten is told, at the address that it gives; what it says of us alone
+    /// counts. Being told is not answered: two that have forgotten each other would tell each other so for ever.
+    fn hear_old(&mut self, now: Seconds, message: &Message, mail: &mut Mail, changed: &mut Vec<Changed>) {
+        let (old, me) = (&message.from, self.me());
+        for word in message.news.iter().filter(|word| word.about == me) {
+            self.take_in(now, word, "by word of one that was forgotten", changed);
+        }
+        let Some(address) = old.card.address.filter(|_| message.ask != Ask::Tell) else { return };
         let word = self.table.answer_to_old(old);
         self.send(To::Address(address), 0, Ask::Tell, vec![word], mail);
     }
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -43,6 +43,8 @@
     pub advertise: Option<SocketAddr>,
     pub join: Vec<SocketAddr>,
     pub forget_after: f64,
+    /// Number of the process, where the clock should not give it: for tests of clocks that were set back.
+    pub process: Option<u64>,
     /// A defence that is left out: for tests of the judge alone.
     pub without: Option<Defence>,
     /// Digest of the file, but for what each steward has of its own.
@@ -93,6 +95,7 @@
             advertise: fleet.text("advertise").map(|_| fleet.need("advertise")).transpose()?,
             join,
             forget_after: fleet.within("forget_after", 600.0, 1.0, 1e6)?,
+            process: fleet.text("process").map(|_| fleet.need("process")).transpose()?,
             without: fleet.choice("without", "nothing", &defences)?,
             settings: sheet.digest(own),
         };
@@ -115,6 +118,7 @@
 /// The service; dropping it ends the thread without a word to the others, as a crash would.
 pub struct FleetService {
     pub address: SocketAddr,
+    pub process: u64,
     ends: Arc<AtomicBool>,
     leaves: Arc<AtomicBool>,
     shown: Arc<Mutex<FleetFigures>>,
@@ -142,10 +146,11 @@
             looks: (0.0, 0),
         };
         tracing::info!(id = terms.id.0, process = desk.members().life().process, %address, "the steward is in the fleet");
+        let process = desk.members().life().process;
         let (stop, leave) = (ends.clone(), leaves.clone());
         let thread =
             std::thread::Builder::new().name("fleet".into()).spawn(move || desk.run(&stop, &leave))?;
-        Ok(FleetService { address, ends, leaves, shown, thread: Some(thread) })
+        Ok(FleetService { address, process, ends, leaves, shown, thread: Some(thread) })
     }
 
     pub fn figures(&self) -> FleetFigures {
@@ -177,7 +182,7 @@
     // Microseconds since 1970: higher than any earlier process of ours, unless the clock was set back, which the
     // others tell us then.
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    let process = since.as_micros() as u64;
+    let process = terms.process.unwrap_or(since.as_micros() as u64);
     let card = Card {
         address: Some(terms.advertise.unwrap_or(address)),
         program: PROGRAM.to_owned(),
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -79,6 +79,11 @@
         self.fleet.as_ref().map(|fleet| fleet.address)
     }
 
+    /// The number that tells this process from others of the same steward.
+    pub fn fleet_process(&self) -> Option<u64> {
+        self.fleet.as_ref().map(|fleet| fleet.process)
+    }
+
     pub fn fleet_figures(&self) -> Option<FleetFigures> {
         self.fleet.as_ref().map(FleetService::figures)
     }
