An explorer of views, faults named in files, railhub fleet view

Breadth first over words, losses, repeats, suspicions and crashes of three stewards' tables; named faults in chaos files (chaos/first-split.ini); an observer's command that shows each steward's view side by side.

--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -43,8 +43,6 @@
     pub folder: &'a Path,
     /// Stewards whose addresses each is given to join by; by default the first two.
     pub join: Vec<u16>,
-    /// Stewards that are not there at the start.
-    pub later: Vec<u16>,
 }
 
 pub struct Played {
@@ -256,7 +254,7 @@
             self.due(fault.at, Due::On(number));
         }
         let first: Vec<u16> =
-            (0..self.plan.chaos.stewards).filter(|id| !self.plan.later.contains(id)).collect();
+            (0..self.plan.chaos.stewards).filter(|id| !self.plan.chaos.later.contains(id)).collect();
         for steward in first {
             self.start(steward, None)?;
         }
@@ -293,6 +291,7 @@
                 self.add_end(steward, format!("{steward} moved {number}"))?;
                 self.start(steward, None)?;
             }
+            What::Join { steward } if !self.current.contains_key(&steward) => self.start(steward, None)?,
             What::Twin { steward } => {
                 self.add_end(steward, format!("{steward} twin {number}"))?;
                 self.start(steward, None)?;
--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -1,5 +1,5 @@
 //! What goes wrong in a run: drawn from a seed within what a file allows.
-use railhub_ini::{Complaint, Sheet};
+use railhub_ini::{Complaint, Section, Sheet};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -94,6 +94,10 @@
     Leave {
         steward: u16,
     },
+    /// It starts for the first time.
+    Join {
+        steward: u16,
+    },
     /// Killed; the clock that numbers processes is set back an hour before it starts again.
     Backward {
         steward: u16,
@@ -134,6 +138,10 @@
     pub lost: f64,
     /// What is judged.
     pub judged: Judged,
+    /// Faults that the file names; then none are drawn.
+    pub named: Vec<Fault>,
+    /// Stewards that are not there at the start: a fault named `join` starts each.
+    pub later: Vec<u16>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -150,9 +158,9 @@
     }
 
     pub fn read(sheet: &Sheet) -> Result<Chaos, Complaint> {
-        sheet.only(|name| name == "chaos")?;
+        sheet.only(|name| name == "chaos" || name.starts_with("fault "))?;
         let section = sheet.section("chaos");
-        let chaos = Chaos {
+        let mut chaos = Chaos {
             name: section.or("name", "unnamed".to_owned())?,
             stewards: section.within("stewards", 3.0, 1.0, 32.0)? as u16,
             slices: section.within("slices", 48.0, 1.0, 10_000.0)? as u16,
@@ -166,13 +174,31 @@
                 "leases",
                 &[("leases", Judged::Leases), ("view", Judged::View)],
             )?,
+            named: Vec::new(),
+            later: Vec::new(),
         };
         section.done()?;
+        for name in sheet.sections().iter().filter(|name| name.starts_with("fault ")) {
+            let section = sheet.section(name);
+            let fault = named(&section, &chaos)?;
+            section.done()?;
+            if let What::Join { steward } = fault.what {
+                chaos.later.push(steward);
+            }
+            chaos.named.push(fault);
+        }
+        if chaos.judged == Judged::Leases && !chaos.named.is_empty() {
+            return Err(section.wrong("judge", "must be view where faults are named"));
+        }
+        chaos.named.sort_by(|a, b| a.at.total_cmp(&b.at));
         Ok(chaos)
     }
 
     /// The faults of a seed, in order.
     pub fn faults(&self, seed: u64) -> Vec<Fault> {
+        if !self.named.is_empty() {
+            return self.named.clone();
+        }
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         let count = chance.random_range(0..=self.faults_most);
         let one = |chance: &mut ChaCha8Rng| match self.judged {
@@ -243,3 +269,51 @@
         Fault { at, long, what }
     }
 }
+
+/// One fault of a file.
+fn named(section: &Section, chaos: &Chaos) -> Result<Fault, Complaint> {
+    let most = f64::from(chaos.stewards.saturating_sub(1));
+    let steward = |key: &str| section.need_within(key, 0.0, most).map(|id| id as u16);
+    let share = |key: &str| section.within(key, 0.0, 0.0, 1.0);
+    let kind: String = section.need("kind")?;
+    let what = match kind.as_str() {
+        "kill" => What::Kill { steward: steward("steward")? },
+        "pause" => What::Pause { steward: steward("steward")? },
+        "join" => What::Join { steward: steward("steward")? },
+        "leave" => What::Leave { steward: steward("steward")? },
+        "move" => What::Move { steward: steward("steward")? },
+        "twin" => What::Twin { steward: steward("steward")? },
+        "backward" => What::Backward { steward: steward("steward")? },
+        "flap" => What::Flap { steward: steward("steward")? },
+        "replay" => What::Replay,
+        "cut" => What::Cut { from: steward("from")?, to: steward("to")? },
+        "apart" => What::Apart { a: steward("a")?, b: steward("b")? },
+        "starve" => {
+            What::Starve { steward: steward("steward")?, share: section.need_within("share", 0.01, 1.0)? }
+        }
+        "flood" => {
+            let count = section.within("count", 2000.0, 1.0, 1e6)? as u32;
+            What::Flood { steward: steward("steward")?, count }
+        }
+        "split" => {
+            let side = section.list("side").into_iter().map(|id| {
+                let id = id.parse::<u16>().ok().filter(|id| *id < chaos.stewards);
+                id.ok_or_else(|| section.wrong("side", "names stewards, as in 0, 1"))
+            });
+            let side = side.collect::<Result<Vec<u16>, _>>()?;
+            What::Split { side: side.into_iter().fold(0, |side, id| side | 1 << id) }
+        }
+        "links" => What::Links {
+            faults: LinkFaults {
+                lost: share("lost")?,
+                doubled: share("doubled")?,
+                reordered: share("reordered")?,
+                delay: section.within("delay", 0.0, 0.0, 10.0)?,
+                jitter: section.within("jitter", 0.0, 0.0, 10.0)?,
+            },
+        },
+        other => return Err(section.wrong("kind", format!("'{other}' is not known"))),
+    };
+    let at = section.need_within("at", 0.0, 3600.0)?;
+    Ok(Fault { at, long: section.within("for", 0.0, 0.0, 3600.0)?, what })
+}
--- a/crates/railhub-chaos/src/lib.rs
+++ b/crates/railhub-chaos/src/lib.rs
@@ -3,6 +3,7 @@
 //! looks at what happened alone and knows nothing of leases or of who should hold what, [`shrink`] makes a failing
 //! run small. The same seed is the same run.
 pub mod bed;
+pub mod explore;
 pub mod faults;
 pub mod judge;
 pub mod shrink;
--- a/crates/railhub-chaos/src/view/sim.rs
+++ b/crates/railhub-chaos/src/view/sim.rs
@@ -123,6 +123,9 @@
     }
     for steward in 0..chaos.stewards {
         let at = START_WITHIN * world.chance.random::<f64>();
+        if chaos.later.contains(&steward) {
+            continue;
+        }
         let process = world.next_process();
         world.due(at, Due::Start { steward, process });
     }
@@ -351,6 +354,10 @@
                 let (address, process) = (self.new_address(), self.next_process());
                 self.start(steward, address, process);
             }
+            What::Join { steward } if !self.current.contains_key(&steward) => {
+                let (address, process) = (self.addresses[&steward], self.next_process());
+                self.start(steward, address, process);
+            }
             What::Twin { steward } => {
                 let (address, process) = (self.new_address(), self.next_process());
                 self.start(steward, address, process);
--- a/crates/railhub-chaos/tests/views.rs
+++ b/crates/railhub-chaos/tests/views.rs
@@ -1,7 +1,9 @@
-//! Views in simulated time: many runs without a breach, and each defence left out is found.
+//! Views in simulated time: many runs without a breach, and each defence that is left out is found.
+use railhub_chaos::explore::explore;
 use railhub_chaos::view::judge::{figures, judge, NO_LIFE_AFTER_DEATH, NO_SPLIT, RUMOURS_END, SETTLES};
 use railhub_chaos::view::sim::{run, How};
-use railhub_chaos::{Chaos, Fault, What};
+use railhub_chaos::view::{Node, Seen};
+use railhub_chaos::{Chaos, Fault, LinkFaults, What};
 use railhub_membership::table::Defence;
 use std::path::Path;
 
@@ -27,3 +29,136 @@
     let play = || run(&chaos, 7, &chaos.faults(7), How::default());
     assert!(play() == play());
 }
+
+fn found(without: Defence, rules: &[&str]) {
+    let chaos = chaos();
+    let how = How { without: Some(without), ..How::default() };
+    let breaks = |seed: &u64| {
+        let breaches = judge(&run(&chaos, *seed, &chaos.faults(*seed), how));
+        breaches.iter().any(|breach| rules.contains(&breach.rule))
+    };
+    assert!((0..200).any(|seed| breaks(&seed)), "{without:?} is not found in 200 runs");
+}
+
+#[test]
+fn a_suspect_that_does_not_say_otherwise_is_found() {
+    found(Defence::Refutation, &[NO_SPLIT, SETTLES]);
+}
+
+#[test]
+fn the_dead_that_are_not_asked_again_are_found() {
+    found(Defence::AskingTheDead, &[NO_SPLIT]);
+}
+
+#[test]
+fn older_processes_that_count_are_found() {
+    found(Defence::Process, &[NO_LIFE_AFTER_DEATH, NO_SPLIT, SETTLES]);
+}
+
+#[test]
+fn views_that_are_never_compared_are_found() {
+    found(Defence::AntiEntropy, &[NO_SPLIT, SETTLES]);
+}
+
+#[test]
+fn rumours_without_end_are_found() {
+    found(Defence::RumourBound, &[RUMOURS_END]);
+}
+
+fn with(faults: &[Fault], how: How) -> Vec<Seen> {
+    let events = run(&chaos(), 1, faults, how);
+    let breaches = judge(&events);
+    assert!(breaches.is_empty(), "{breaches:#?}");
+    events
+}
+
+/// Whether any process shows this steward as gone within some seconds.
+fn held_gone(events: &[Seen], steward: u16, from: f64, until: f64) -> bool {
+    events.iter().any(|event| match event {
+        Seen::View { at, gone, .. } if (from..until).contains(at) => {
+            gone.iter().any(|(id, _)| *id == steward)
+        }
+        _ => false,
+    })
+}
+
+#[test]
+fn two_that_cannot_reach_each_other_do_not_bury_each_other() {
+    let events = with(&[Fault { at: 5.0, long: 0.0, what: What::Apart { a: 0, b: 1 } }], How::default());
+    assert!((0..5).all(|steward| !held_gone(&events, steward, 3.0, 100.0)));
+}
+
+#[test]
+fn a_steward_that_was_paused_for_a_second_is_buried_by_nobody_and_buries_nobody() {
+    let events = with(&[Fault { at: 5.0, long: 1.0, what: What::Pause { steward: 2 } }], How::default());
+    assert!((0..5).all(|steward| !held_gone(&events, steward, 3.0, 100.0)));
+}
+
+#[test]
+fn a_steward_that_is_gone_for_long_is_forgotten_and_its_next_process_is_believed() {
+    let how = How { forget_after: 6.0, ..How::default() };
+    let events = with(&[Fault { at: 5.0, long: 20.0, what: What::Kill { steward: 2 } }], how);
+    assert!(held_gone(&events, 2, 9.0, 11.0) && !held_gone(&events, 2, 17.0, 24.0));
+}
+
+/// Found by simulated runs with short forgetting: each told the other so, at the speed of the net.
+#[test]
+fn two_that_have_forgotten_each_other_do_not_tell_each_other_so_without_end() {
+    let how = How { forget_after: 4.0, ..How::default() };
+    let faults = [Fault { at: 5.0, long: 25.0, what: What::Split { side: 0b11 } }];
+    let chaos = Chaos { length: 120.0, ..chaos() };
+    let events = run(&chaos, 3, &faults, how);
+    assert!(figures(&events).datagrams < 60.0, "{:?}", figures(&events));
+    let last = events.iter().rev().find_map(|event| match event {
+        Seen::View { living, .. } => Some(living.len()),
+        _ => None,
+    });
+    assert_eq!(last, Some(5), "the addresses of the file bring them together again");
+}
+
+/// What a steward sends hardly grows with the fleet.
+#[test]
+fn cost_a_steward_is_flat() {
+    let bytes = |stewards: u16| {
+        let chaos = Chaos { stewards, ..chaos() };
+        figures(&run(&chaos, 1, &[], How::default())).bytes
+    };
+    let (five, fifteen) = (bytes(5), bytes(15));
+    assert!(fifteen <= five * 1.2, "{five:.0} and {fifteen:.0} bytes a steward and second");
+}
+
+/// The judge itself: a view that is wrong for one look is a breach.
+#[test]
+fn the_judge_finds_one_wrong_look() {
+    let mut events = with(&[], How::default());
+    let place = events.iter().rposition(|event| matches!(event, Seen::View { .. })).expect("a view");
+    if let Seen::View { living, .. } = &mut events[place] {
+        living.pop();
+    }
+    assert_eq!(judge(&events).first().map(|breach| breach.rule), Some(NO_SPLIT));
+    let down = Seen::Down { at: 1.0, node: Node(1), steward: 0 };
+    events.insert(0, down);
+    assert!(!judge(&events).is_empty(), "one that ended and is held to live");
+}
+
+#[test]
+fn lossy_links_delay_the_truth_and_do_not_change_it() {
+    let faults = LinkFaults { lost: 0.2, doubled: 0.2, reordered: 0.3, delay: 0.01, jitter: 0.02 };
+    let bad = Fault { at: 4.0, long: 20.0, what: What::Links { faults } };
+    with(&[bad, Fault { at: 8.0, long: 6.0, what: What::Kill { steward: 3 } }], How::default());
+}
+
+#[test]
+fn every_order_of_words_losses_and_crashes_ends_in_the_truth() {
+    let explored = explore(None, 60_000);
+    assert!(explored.counterexample.is_none(), "{:#?}", explored.counterexample);
+    assert!(explored.states > 10_000, "{} states", explored.states);
+}
+
+#[test]
+fn the_explorer_finds_missing_refutation_and_ignored_processes() {
+    for without in [Defence::Refutation, Defence::Process] {
+        let explored = explore(Some(without), 60_000);
+        assert!(explored.counterexample.is_some(), "{without:?}: none in {} states", explored.states);
+    }
+}
--- a/crates/railhub-cli/src/chaos_view.rs
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -59,6 +59,7 @@
         true => arguments.at_once as usize,
         false => std::thread::available_parallelism().map_or(1, |n| n.get()),
     };
+    let show = arguments.runs == 1 && !chaos.named.is_empty() && !arguments.json;
     let (next, all) = (AtomicU64::new(0), Mutex::new(Vec::new()));
     std::thread::scope(|scope| {
         for _ in 0..threads {
@@ -68,7 +69,7 @@
                     return;
                 }
                 let seed = arguments.seed + number;
-                let run = one(chaos, seed, how, arguments);
+                let run = one(chaos, seed, how, arguments, show);
                 all.lock().expect("no holder panics").push((seed, run));
             });
         }
@@ -98,7 +99,7 @@
     failed: Option<Failed>,
 }
 
-fn one(chaos: &Chaos, seed: u64, how: How, arguments: &ChaosArguments) -> Result<Ran, String> {
+fn one(chaos: &Chaos, seed: u64, how: How, arguments: &ChaosArguments, show: bool) -> Result<Ran, String> {
     let faults = chaos.faults(seed);
     let (events, folder) = match arguments.loopback {
         false => (simulate(chaos, seed, &faults, how), None),
@@ -108,6 +109,9 @@
             (on_loopback(chaos, seed, &faults, how, &folder)?, Some(folder))
         }
     };
+    if show {
+        print!("{}", story(&events));
+    }
     let breaches = judge(&events);
     let length = events.iter().map(Seen::at).fold(0.0, f64::max);
     let figures = figures(&events);
@@ -135,7 +139,7 @@
 ) -> Result<Vec<Seen>, String> {
     let binary = std::env::current_exe().map_err(|e| format!("this program cannot be found: {e}"))?;
     let (binary, join) = (binary.as_path(), vec![0, 1]);
-    let plan = Plan { chaos, seed, faults, how, binary, folder, join, later: Vec::new() };
+    let plan = Plan { chaos, seed, faults, how, binary, folder, join };
     play(&plan).map(|played| played.events)
 }
 
@@ -227,3 +231,34 @@
     }
     out
 }
+
+/// What happened and what each steward's view became, line by line.
+fn story(events: &[Seen]) -> String {
+    let mut out = String::new();
+    let mut shown = std::collections::BTreeMap::new();
+    for event in events {
+        let at = event.at();
+        match event {
+            Seen::Up { node, steward, .. } => {
+                out += &format!("{at:>7.2} s  steward {steward} starts, process {}\n", node.0);
+            }
+            Seen::Down { node, steward, .. } => {
+                out += &format!("{at:>7.2} s  steward {steward} ends, process {}\n", node.0);
+            }
+            Seen::Fault { on, fault, .. } => {
+                out += &format!("{at:>7.2} s  {} {fault:?}\n", if *on { "begins:" } else { "is over:" });
+            }
+            Seen::View { node, steward, living, yielded, .. } => {
+                let ids: Vec<u16> = living.iter().map(|(id, _)| *id).collect();
+                let view = (ids, *yielded);
+                if shown.get(node) != Some(&view) {
+                    let part = if *yielded { ", and takes no part" } else { "" };
+                    out += &format!("{at:>7.2} s      steward {steward} holds {:?} to live{part}\n", view.0);
+                    shown.insert(*node, view);
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod chaos_view;
 mod compare;
 mod day;
+mod fleet;
 mod launch;
 mod logs;
 mod model;
@@ -51,6 +52,8 @@
     Traffic(traffic::TrafficArguments),
     /// Plays stewards that share a fleet, with faults drawn from seeds, and judges what they order.
     Chaos(chaos::ChaosArguments),
+    /// Shows what stewards that share a fleet hold of each other.
+    Fleet(fleet::FleetArguments),
     /// Shows a running day, a finished record or an experiment's folder in the terminal.
     Watch(watch::WatchArguments),
     /// What `day` says of a run, from its record alone: service, its changes, rules.
@@ -109,6 +112,7 @@
         Command::Compare(given) => compare::run(&given),
         Command::Traffic(given) => traffic::run(&given),
         Command::Chaos(given) => chaos::run(&given),
+        Command::Fleet(given) => fleet::run(&given),
         Command::Watch(given) => watch::run(&given),
         Command::Report(given) => day::report(&given),
         Command::Check(given) => day::check(&given),
