--- /dev/null
+++ b/crates/railhub-chaos/src/view/heartbeat.rs
@@ -0,0 +1,93 @@
+//! The plain baseline: each steward sends a word to all whose addresses it knows, and holds for gone whoever was silent
+//! for one fixed time. It is played in the same runs as the view, so that both are weighed by the same faults.
+use railhub_membership::entry::{Entry, Load, Standing};
+use railhub_membership::swim::Shown;
+use railhub_membership::words::{Ask, Mail, Message, To};
+use railhub_membership::StewardId;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Seconds between two words, and of silence until one is gone.
+const BEAT: f64 = 0.5;
+const SILENT_FOR: f64 = 2.0;
+
+pub struct Heartbeat {
+    me: Entry,
+    seeds: Vec<SocketAddr>,
+    heard: BTreeMap<StewardId, (Entry, f64)>,
+    beat_at: f64,
+    turn: u64,
+}
+
+impl Heartbeat {
+    pub fn new(me: Entry, seeds: Vec<SocketAddr>, now: f64) -> Heartbeat {
+        Heartbeat { me, seeds, heard: BTreeMap::new(), beat_at: now, turn: 0 }
+    }
+
+    pub fn next_at(&self) -> f64 {
+        self.beat_at
+    }
+
+    pub fn process(&self) -> u64 {
+        self.me.life.process
+    }
+
+    pub fn address(&self, id: StewardId) -> Option<SocketAddr> {
+        self.heard.get(&id).and_then(|(entry, _)| entry.card.address)
+    }
+
+    fn mail(&mut self, ask: Ask) -> Mail {
+        self.turn += 1;
+        let message = Message {
+            from: self.me.clone(),
+            turn: self.turn,
+            load: Load::default(),
+            number: 0,
+            ask,
+            // Newcomers learn of the others from whoever hears them.
+            news: Vec::new(),
+            names: None,
+            digest: 0,
+        };
+        let known = self.heard.values().filter_map(|(entry, _)| entry.card.address);
+        let to: std::collections::BTreeSet<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        to.into_iter().map(|address| (To::Address(address), message.clone())).collect()
+    }
+
+    pub fn tick(&mut self, now: f64) -> Mail {
+        if now < self.beat_at {
+            return Mail::new();
+        }
+        self.beat_at = now + BEAT;
+        self.mail(Ask::Tell)
+    }
+
+    pub fn hear(&mut self, now: f64, message: &Message) {
+        let from = &message.from;
+        if from.about == self.me.about {
+            return;
+        }
+        let known = self.heard.get(&from.about);
+        if known.is_none_or(|(entry, _)| entry.life.process <= from.life.process) {
+            self.heard.insert(from.about, (from.clone(), now));
+        }
+    }
+
+    pub fn leave(&mut self) -> Mail {
+        self.me.standing = Standing::Left;
+        self.mail(Ask::Tell)
+    }
+
+    pub fn shown(&self, now: f64) -> Vec<Shown> {
+        let show = |entry: &Entry, heard_ago: f64| {
+            let lives = heard_ago <= SILENT_FOR && entry.standing != Standing::Left;
+            let standing = if lives { Standing::Alive } else { Standing::Dead };
+            let entry = Entry { standing, ..entry.clone() };
+            Shown { entry, load: Load::default(), stands_for: 0.0, heard_ago, withdrawn: false }
+        };
+        let others = self.heard.values().map(|(entry, at)| show(entry, now - at));
+        let mut all: Vec<Shown> = others.chain([show(&self.me, 0.0)]).collect();
+        all.sort_by_key(|shown| shown.entry.about);
+        all
+    }
+}
--- a/crates/railhub-chaos/src/view/mod.rs
+++ b/crates/railhub-chaos/src/view/mod.rs
@@ -1,5 +1,6 @@
 //! What stewards hold of each other while things fail: played in simulated time ([`sim`]) or on real processes
 //! (`crate::bed`), and judged from what was seen ([`judge`]), which is the same for both.
+pub mod heartbeat;
 pub mod judge;
 pub mod sim;
 
--- a/crates/railhub-chaos/src/view/sim.rs
+++ b/crates/railhub-chaos/src/view/sim.rs
@@ -1,10 +1,11 @@
 //! Plays a run of views in simulated time, with the code that stewards run: each node is a [`Members`] with a clock
 //! and an address of its own; datagrams are encoded and decoded as on the wire.
 use crate::faults::{Chaos, Fault, LinkFaults, What};
+use crate::view::heartbeat::Heartbeat;
 use crate::view::{ends, Node, Seen};
 use railhub_membership::entry::{Card, Entry, Standing};
 use railhub_membership::packet::{decode, encode, Packet};
-use railhub_membership::swim::{Manners, Members};
+use railhub_membership::swim::{Manners, Members, Shown};
 use railhub_membership::table::Defence;
 use railhub_membership::words::{Mail, Message, To};
 use railhub_membership::StewardId;
@@ -43,6 +44,72 @@
     pub without: Option<Defence>,
     /// Seconds after which one that is gone is forgotten; 0: as usual.
     pub forget_after: f64,
+    /// The plain baseline instead: words to all, one fixed time-out.
+    pub heartbeats: bool,
+}
+
+/// What a process is.
+enum Watcher {
+    Members(Box<Members>),
+    Heartbeat(Heartbeat),
+}
+
+impl Watcher {
+    fn tick(&mut self, now: f64) -> Mail {
+        match self {
+            Watcher::Members(members) => members.tick(now).0,
+            Watcher::Heartbeat(plain) => plain.tick(now),
+        }
+    }
+
+    fn hear(&mut self, now: f64, message: &Message) -> Mail {
+        match self {
+            Watcher::Members(members) => members.hear(now, message).0,
+            Watcher::Heartbeat(plain) => {
+                plain.hear(now, message);
+                Mail::new()
+            }
+        }
+    }
+
+    fn next_at(&self) -> f64 {
+        match self {
+            Watcher::Members(members) => members.next_at(),
+            Watcher::Heartbeat(plain) => plain.next_at(),
+        }
+    }
+
+    fn address(&self, id: StewardId) -> Option<SocketAddr> {
+        match self {
+            Watcher::Members(members) => members.address(id),
+            Watcher::Heartbeat(plain) => plain.address(id),
+        }
+    }
+
+    fn leave(&mut self, now: f64) -> Mail {
+        match self {
+            Watcher::Members(members) => members.leave(now),
+            Watcher::Heartbeat(plain) => plain.leave(),
+        }
+    }
+
+    fn shown(&self, now: f64) -> Vec<Shown> {
+        match self {
+            Watcher::Members(members) => members.shown(now),
+            Watcher::Heartbeat(plain) => plain.shown(now),
+        }
+    }
+
+    fn process(&self) -> u64 {
+        match self {
+            Watcher::Members(members) => members.life().process,
+            Watcher::Heartbeat(plain) => plain.process(),
+        }
+    }
+
+    fn has_yielded(&self) -> bool {
+        matches!(self, Watcher::Members(members) if members.has_yielded())
+    }
 }
 
 enum Due {
@@ -57,7 +124,7 @@
 
 struct Process {
     steward: u16,
-    members: Members,
+    watcher: Watcher,
     address: SocketAddr,
     /// Its clock is so much ahead.
     offset: f64,
@@ -173,11 +240,16 @@
         let offset = self.chance.random::<f64>() * 1000.0;
         let card = Card { address: Some(address), program: "sim".into(), ..Card::default() };
         let forget_after = if self.how.forget_after > 0.0 { self.how.forget_after } else { 600.0 };
-        let seeds = self.addresses.values().copied().filter(|seed| *seed != address).take(2).collect();
+        let most = if self.how.heartbeats { usize::MAX } else { 2 };
+        let seeds = self.addresses.values().copied().filter(|seed| *seed != address).take(most).collect();
         let manners = Manners { seeds, forget_after, without: self.how.without };
         let own = Entry::alive(StewardId(steward), process, card);
-        let members = Members::new(own, manners, self.now + offset, self.chance.random());
-        let process = Process { steward, members, address, offset, paused_until: 0.0, share: 1.0 };
+        let local = self.now + offset;
+        let watcher = match self.how.heartbeats {
+            true => Watcher::Heartbeat(Heartbeat::new(own, manners.seeds, local)),
+            false => Watcher::Members(Box::new(Members::new(own, manners, local, self.chance.random()))),
+        };
+        let process = Process { steward, watcher, address, offset, paused_until: 0.0, share: 1.0 };
         self.nodes.insert(node, process);
         self.current.insert(steward, node);
         self.addresses.insert(steward, address);
@@ -227,8 +299,8 @@
     fn tick(&mut self, node: Node) {
         let process = self.nodes.get_mut(&node).expect("it has just been looked at");
         let local = self.now + process.offset;
-        let (mail, _) = process.members.tick(local);
-        let next = process.members.next_at() - local;
+        let mail = process.watcher.tick(local);
+        let next = process.watcher.next_at() - local;
         self.due(self.now + next.max(0.002), Due::Tick(node));
         self.post(node, mail);
     }
@@ -241,7 +313,7 @@
         }
         let Ok(Packet::Words(message)) = decode(INSTALLATION, &bytes) else { return };
         let process = self.nodes.get_mut(&node).expect("found above");
-        let (mail, _) = process.members.hear(self.now + process.offset, &message);
+        let mail = process.watcher.hear(self.now + process.offset, &message);
         self.post(node, mail);
     }
 
@@ -249,7 +321,7 @@
         for (to, message) in mail {
             let process = &self.nodes[&from];
             let address = match to {
-                To::Steward(id) => process.members.address(id),
+                To::Steward(id) => process.watcher.address(id),
                 To::Address(address) => Some(address),
             };
             let Some(address) = address else { continue };
@@ -318,7 +390,7 @@
         let ready: Vec<Node> = self.nodes.keys().copied().filter(|n| self.wakes(*n).is_none()).collect();
         for node in ready {
             let process = &self.nodes[&node];
-            let shown = process.members.shown(self.now + process.offset);
+            let shown = process.watcher.shown(self.now + process.offset);
             let of = |lives: bool| -> Vec<(u16, u64)> {
                 let some = shown.iter().filter(|shown| shown.entry.standing.lives() == lives);
                 some.map(|shown| (shown.entry.about.0, shown.entry.life.process)).collect()
@@ -327,8 +399,8 @@
                 at: self.now,
                 node,
                 steward: process.steward,
-                process: process.members.life().process,
-                yielded: process.members.has_yielded(),
+                process: process.watcher.process(),
+                yielded: process.watcher.has_yielded(),
                 living: of(true),
                 gone: of(false),
             });
@@ -365,7 +437,7 @@
             What::Leave { steward } => {
                 if let Some(node) = self.current.get(&steward).copied() {
                     let process = self.nodes.get_mut(&node).expect("the current ones are there");
-                    let mail = process.members.leave(self.now + process.offset);
+                    let mail = process.watcher.leave(self.now + process.offset);
                     self.post(node, mail);
                 }
                 self.kill(steward);
--- a/crates/railhub-cli/src/chaos.rs
+++ b/crates/railhub-cli/src/chaos.rs
@@ -28,6 +28,9 @@
     /// On real processes, with links between them that break; for files that judge the view.
     #[arg(long)]
     pub loopback: bool,
+    /// Views: heartbeats to all and one fixed time-out instead, to weigh against; in simulated time.
+    #[arg(long)]
+    pub baseline: bool,
     /// Runs on real processes at once.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..64))]
     pub at_once: u64,
--- a/crates/railhub-cli/src/chaos_view.rs
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -54,7 +54,11 @@
     if without == Some(None) {
         return Err(Ending::Input("that sabotage is of leases; this file judges views".into()));
     }
-    let how = How { without: without.flatten(), forget_after: 0.0 };
+    let heartbeats = arguments.baseline;
+    if heartbeats && arguments.loopback {
+        return Err(Ending::Input("--baseline is played in simulated time".into()));
+    }
+    let how = How { without: without.flatten(), forget_after: 0.0, heartbeats };
     let threads = match arguments.loopback {
         true => arguments.at_once as usize,
         false => std::thread::available_parallelism().map_or(1, |n| n.get()),
--- /dev/null
+++ b/crates/railhub-cli/tests/fleet.rs
@@ -0,0 +1,245 @@
+//! Several stewards as processes, with faults between them: short cases through the real binary. A failing case prints its
+//! seed, what broke and where the logs are.
+use railhub_chaos::bed::{play, scratch, Plan};
+use railhub_chaos::view::judge::{judge, NO_LIFE_AFTER_DEATH, NO_SPLIT, RUMOURS_END, SETTLES};
+use railhub_chaos::view::sim::How;
+use railhub_chaos::view::Seen;
+use railhub_chaos::{Chaos, Fault, Judged, LinkFaults, What};
+use railhub_membership::packet::{encode, Packet, BYTES_MOST};
+use railhub_membership::table::Defence;
+use railhub_membership::StewardId;
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_railhub");
+
+fn chaos(stewards: u16) -> Chaos {
+    Chaos {
+        name: "test".into(),
+        stewards,
+        slices: 1,
+        proxies: 1,
+        length: 5.0,
+        span: 3.0,
+        faults_most: 0,
+        lost: 0.01,
+        judged: Judged::View,
+        named: Vec::new(),
+        later: Vec::new(),
+    }
+}
+
+fn fault(at: f64, long: f64, what: What) -> Fault {
+    Fault { at, long, what }
+}
+
+/// Plays faults on real processes; what was seen, and where its logs are.
+fn seen(seed: u64, chaos: &Chaos, faults: &[Fault], how: How) -> (Vec<Seen>, std::path::PathBuf) {
+    let folder = scratch(seed);
+    let (binary, join) = (Path::new(BINARY), vec![0, 1]);
+    let plan = Plan { chaos, seed, faults, how, binary, folder: &folder, join };
+    let played = play(&plan).unwrap_or_else(|what| panic!("seed {seed}: {what}"));
+    (played.events, folder)
+}
+
+fn keeps_all_rules(seed: u64, chaos: &Chaos, faults: &[Fault]) -> Vec<Seen> {
+    let (events, folder) = seen(seed, chaos, faults, How::default());
+    let breaches = judge(&events);
+    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}\nlogs: {}", folder.display());
+    let _ = std::fs::remove_dir_all(folder);
+    events
+}
+
+/// Whether a view showed this steward as gone.
+fn held_gone(events: &[Seen], steward: u16) -> bool {
+    events.iter().any(|event| match event {
+        Seen::View { gone, .. } => gone.iter().any(|(id, _)| *id == steward),
+        _ => false,
+    })
+}
+
+#[test]
+fn a_join_during_a_split_and_a_crash_settle() {
+    let mut chaos = chaos(4);
+    chaos.later = vec![3];
+    let faults = [
+        fault(2.0, 14.0, What::Split { side: 0b0011 }),
+        fault(3.0, 0.0, What::Join { steward: 3 }),
+        fault(4.0, 8.0, What::Kill { steward: 1 }),
+    ];
+    let events = keeps_all_rules(1, &chaos, &faults);
+    assert!(held_gone(&events, 0), "the split was long enough to bury");
+}
+
+#[test]
+fn links_cut_one_way_and_two_that_are_apart_bury_nobody_while_a_third_reaches_both() {
+    let faults = [fault(2.0, 0.0, What::Apart { a: 0, b: 1 }), fault(3.0, 5.0, What::Cut { from: 2, to: 3 })];
+    let events = keeps_all_rules(2, &chaos(4), &faults);
+    assert!((0..4).all(|steward| !held_gone(&events, steward)));
+}
+
+#[test]
+fn stopped_for_a_second_and_for_five_moved_and_set_back_all_settle() {
+    let faults = [
+        fault(2.0, 1.0, What::Pause { steward: 0 }),
+        fault(4.0, 5.0, What::Pause { steward: 1 }),
+        fault(5.0, 0.3, What::Kill { steward: 2 }),
+        fault(7.0, 0.0, What::Move { steward: 2 }),
+        fault(8.0, 0.5, What::Backward { steward: 3 }),
+    ];
+    keeps_all_rules(3, &chaos(4), &faults);
+}
+
+#[test]
+fn of_two_processes_with_one_name_the_older_stands_back() {
+    let events = keeps_all_rules(4, &chaos(3), &[fault(3.0, 0.0, What::Twin { steward: 1 })]);
+    assert!(events.iter().any(|event| matches!(event, Seen::View { steward: 1, yielded: true, .. })));
+}
+
+#[test]
+fn lossy_links_restarts_old_datagrams_again_and_spoilt_ones_settle() {
+    let bad = LinkFaults { lost: 0.2, doubled: 0.1, reordered: 0.2, delay: 0.005, jitter: 0.01 };
+    let faults = [
+        fault(1.0, 9.0, What::Links { faults: bad }),
+        fault(2.0, 8.0, What::Flap { steward: 0 }),
+        fault(8.0, 0.0, What::Flood { steward: 1, count: 20_000 }),
+        fault(11.0, 0.0, What::Replay),
+    ];
+    keeps_all_rules(5, &chaos(3), &faults);
+}
+
+#[test]
+fn all_that_start_at_once_with_a_dead_address_first_find_each_other() {
+    let mut chaos = chaos(4);
+    // Nobody ever starts under the first name: its address is that of a dead one.
+    chaos.later = vec![0];
+    keeps_all_rules(6, &chaos, &[]);
+}
+
+fn breaks(seed: u64, without: Defence, faults: &[Fault], rules: &[&str]) {
+    let how = How { without: Some(without), ..How::default() };
+    let (events, folder) = seen(seed, &chaos(3), faults, how);
+    let breaches = judge(&events);
+    let found = breaches.iter().any(|breach| rules.contains(&breach.rule));
+    assert!(found, "seed {seed}, {without:?}: {breaches:?}, logs: {}", folder.display());
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_fleet_that_ignores_process_numbers_is_found() {
+    let faults = [fault(2.0, 7.0, What::Kill { steward: 1 })];
+    breaks(7, Defence::Process, &faults, &[NO_SPLIT, SETTLES, NO_LIFE_AFTER_DEATH]);
+}
+
+#[test]
+fn a_fleet_without_refutation_is_found() {
+    breaks(8, Defence::Refutation, &[fault(2.0, 9.0, What::Split { side: 1 })], &[NO_SPLIT, SETTLES]);
+}
+
+#[test]
+fn a_fleet_with_endless_rumours_is_found() {
+    breaks(9, Defence::RumourBound, &[], &[RUMOURS_END]);
+}
+
+/// A steward that ends with its test, also when that fails.
+struct Steward {
+    child: Child,
+    fleet: SocketAddr,
+}
+
+impl Drop for Steward {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn steward(folder: &Path, id: u16, join: Option<SocketAddr>) -> (Steward, String) {
+    let join = join.map_or(String::new(), |address| format!("join = {address}\n"));
+    let text = format!(
+        "[steward]\nlisten = 127.0.0.1:0\nroster = 127.0.0.1:1\n\n[class any]\ncontract_time = 1\n\n\
+         [fleet]\nid = {id}\ninstallation = hand\n{join}"
+    );
+    let conf = folder.join(format!("{id}.ini"));
+    std::fs::write(&conf, text).expect("writable");
+    let conf = conf.to_str().expect("plain").to_owned();
+    let mut child = Command::new(BINARY)
+        .args(["steward", "--until-stdin-ends", "--log", "off", "--conf", &conf])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("it says something");
+    let told: Value = serde_json::from_str(&line).expect("one JSON object");
+    let fleet = told["fleet"].as_str().expect("an address").parse().expect("an address");
+    (Steward { child, fleet }, conf)
+}
+
+/// Looks until a view is as wanted, or the deadline has passed.
+fn look_until(conf: &str, at: SocketAddr, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+    let until = Instant::now() + Duration::from_secs(30);
+    loop {
+        let at = at.to_string();
+        let out = Command::new(BINARY)
+            .args(["fleet", "view", "--json", "--log", "off", "--conf", conf, "--at", &at])
+            .output()
+            .expect("it runs");
+        let told: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+        if wanted(&told) {
+            return told;
+        }
+        assert!(Instant::now() < until, "{what}: {told}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn an_observer_sees_a_join_and_a_leave_in_order_and_is_never_counted() {
+    let folder = std::env::temp_dir().join(format!("railhub-observer-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("writable");
+    let (one, conf) = steward(&folder, 1, None);
+    let (two, _) = steward(&folder, 2, Some(one.fleet));
+    let lines = |told: &Value| told["views"][0]["lines"].as_array().map_or(0, Vec::len);
+    let both = |told: &Value| told["agree"] == true && told["views"].as_array().map_or(0, Vec::len) == 2;
+    let told = look_until(&conf, one.fleet, "two that know each other", both);
+    assert_eq!(lines(&told), 2, "{told}");
+    assert_eq!(told["views"][0]["lines"][0]["settings"], told["views"][0]["lines"][1]["settings"]);
+    // SAFETY: the child has not been waited for, so its id is its own.
+    unsafe { libc::kill(two.child.id() as i32, libc::SIGTERM) };
+    let left = |told: &Value| told["views"][0]["lines"][1]["standing"] == "left";
+    look_until(&conf, one.fleet, "one that left", left);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// What is spoilt, foreign, older or too long is dropped, and the steward answers on.
+#[test]
+fn a_hundred_thousand_damaged_datagrams_are_dropped_and_counted_and_answers_go_on() {
+    let folder = std::env::temp_dir().join(format!("railhub-damaged-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("writable");
+    let (one, conf) = steward(&folder, 1, None);
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let look = encode("hand", &Packet::Look { nonce: 1, from: StewardId(0) });
+    let foreign = encode("other", &Packet::Look { nonce: 1, from: StewardId(0) });
+    let mut older = look.clone();
+    older[3] = 0;
+    let mut spoilt = look.clone();
+    spoilt[10] ^= 4;
+    let long = vec![1; BYTES_MOST + 100];
+    let kinds: [&[u8]; 5] = [&foreign, &older, &spoilt, &long, &look[..7]];
+    for number in 0..100_000 {
+        let _ = socket.send_to(kinds[number % kinds.len()], one.fleet);
+        if number % 64 == 0 {
+            std::thread::sleep(Duration::from_micros(300));
+        }
+    }
+    let told = look_until(&conf, one.fleet, "an answer", |told| told["views"][0]["dropped"].is_u64());
+    // What the socket's own queue could not hold never came to the steward.
+    assert!(told["views"][0]["dropped"].as_u64() > Some(10_000), "{told}");
+    assert_eq!(told["views"][0]["lines"].as_array().map_or(0, Vec::len), 1);
+    let _ = std::fs::remove_dir_all(folder);
+}
