--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -41,7 +41,7 @@
     pub binary: &'a Path,
     /// Settings, logs, the links' record and what was seen are written here.
     pub folder: &'a Path,
-    /// Stewards whose addresses each is given to join by; by default the first two.
+    /// Stewards whose addresses each is given to join by; three of them suffice.
     pub join: Vec<u16>,
 }
 
@@ -53,7 +53,7 @@
 #[derive(Default)]
 struct Heard {
     told_dead: BTreeSet<(u16, u64, u64)>,
-    last_news: f64,
+    news: BTreeSet<u32>,
     datagrams: u64,
     bytes: u64,
     longest: usize,
@@ -409,7 +409,7 @@
         self.nodes.values().for_each(|running| running.process.kill());
         let mut events = std::mem::take(&mut *self.events.lock().expect("no holder panics"));
         let heard = self.heard.lock().expect("no holder panics");
-        events.push(Seen::LastNews { at: heard.last_news });
+        events.push(Seen::News { at, seconds: heard.news.clone() });
         let (datagrams, bytes, longest) = (heard.datagrams, heard.bytes, heard.longest);
         events.push(Seen::Sent { at, datagrams, bytes, longest });
         events.sort_by(|a, b| a.at().total_cmp(&b.at()));
@@ -456,7 +456,7 @@
         for word in &message.news {
             let receiver = crossing.to.split(' ').next().and_then(|id| id.parse().ok());
             if receiver != Some(word.about.0) {
-                heard.last_news = at;
+                heard.news.insert(at.max(0.0) as u32);
             }
             let life = (word.about.0, word.life.process, word.life.count);
             if word.standing == Standing::Dead && heard.told_dead.insert(life) {
--- a/crates/railhub-chaos/src/view/mod.rs
+++ b/crates/railhub-chaos/src/view/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::faults::{Fault, What};
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 /// Seconds after the last fault within which every view must be true again. The dead are asked at least every 9.6 s,
 /// a death is found within some 4 s by one that fares badly itself, and a word comes round within 1 s.
@@ -54,9 +55,10 @@
         process: u64,
         count: u64,
     },
-    /// When the last word about a third was passed on.
-    LastNews {
+    /// The whole seconds of the run in which words about a third were passed on.
+    News {
         at: f64,
+        seconds: BTreeSet<u32>,
     },
     /// What all stewards sent in the whole run, and the longest datagram.
     Sent {
@@ -75,7 +77,7 @@
             | Seen::Fault { at, .. }
             | Seen::View { at, .. }
             | Seen::Dead { at, .. }
-            | Seen::LastNews { at }
+            | Seen::News { at, .. }
             | Seen::Sent { at, .. } => *at,
         }
     }
