--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -1,7 +1,7 @@
 //! Plays a plan's faults on real processes.
 use crate::bed::looker::{Asked, Events, Looker};
 use crate::bed::process::Process;
-use crate::faults::{Chaos, Fault, LinkFaults, What};
+use crate::faults::{links_on, Chaos, Fault, LinkFaults, What};
 use crate::view::sim::{How, FLAP, ROUND};
 use crate::view::{ends, Node, Seen};
 use railhub_links::udp::UdpLinks;
@@ -229,17 +229,8 @@
     }
 
     fn links_now(&self) -> Faults {
-        let mut all = LinkFaults { lost: self.plan.chaos.lost, ..LinkFaults::default() };
-        for number in &self.on {
-            if let What::Links { faults } = self.plan.faults[*number].what {
-                all.lost = all.lost.max(faults.lost);
-                all.doubled = all.doubled.max(faults.doubled);
-                all.reordered = all.reordered.max(faults.reordered);
-                all.delay = all.delay.max(faults.delay);
-                all.jitter = all.jitter.max(faults.jitter);
-            }
-        }
-        let LinkFaults { lost, doubled, reordered, delay, jitter } = all;
+        let on = self.on.iter().map(|number| &self.plan.faults[*number]);
+        let LinkFaults { lost, doubled, reordered, delay, jitter } = links_on(self.plan.chaos.lost, on);
         Faults { lost, doubled, reordered, delay, jitter, ..Faults::default() }
     }
 
--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -123,6 +123,21 @@
     pub what: What,
 }
 
+/// What all faults that are on make of the ways between stewards, over the loss that is always there.
+pub(crate) fn links_on<'a>(always: f64, on: impl Iterator<Item = &'a Fault>) -> LinkFaults {
+    let mut all = LinkFaults { lost: always, ..LinkFaults::default() };
+    for fault in on {
+        if let What::Links { faults } = fault.what {
+            all.lost = all.lost.max(faults.lost);
+            all.doubled = all.doubled.max(faults.doubled);
+            all.reordered = all.reordered.max(faults.reordered);
+            all.delay = all.delay.max(faults.delay);
+            all.jitter = all.jitter.max(faults.jitter);
+        }
+    }
+    all
+}
+
 /// A file's chaos: sizes, and how much goes wrong.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chaos {
--- a/crates/railhub-chaos/src/view/sim.rs
+++ b/crates/railhub-chaos/src/view/sim.rs
@@ -1,6 +1,6 @@
 //! Plays a run of views in simulated time, with the code that stewards run: each node is a [`Members`] with a clock
 //! and an address of its own; datagrams are encoded and decoded as on the wire.
-use crate::faults::{Chaos, Fault, LinkFaults, What};
+use crate::faults::{links_on, Chaos, Fault, What};
 use crate::view::heartbeat::Heartbeat;
 use crate::view::{ends, Node, Seen};
 use railhub_membership::entry::{Card, Entry, Standing};
@@ -357,26 +357,12 @@
         }
     }
 
-    fn links(&self) -> LinkFaults {
-        let mut all = LinkFaults { lost: self.chaos.lost, ..LinkFaults::default() };
-        for number in &self.on {
-            if let What::Links { faults } = self.faults[*number].what {
-                all.lost = all.lost.max(faults.lost);
-                all.doubled = all.doubled.max(faults.doubled);
-                all.reordered = all.reordered.max(faults.reordered);
-                all.delay = all.delay.max(faults.delay);
-                all.jitter = all.jitter.max(faults.jitter);
-            }
-        }
-        all
-    }
-
     fn send(&mut self, from: u16, to: SocketAddr, bytes: Vec<u8>) {
         let target = self.nodes.values().find(|process| process.address == to).map(|p| p.steward);
         if target.is_none_or(|target| is_cut(&self.on, &self.apart, self.faults, from, target)) {
             return;
         }
-        let links = self.links();
+        let links = links_on(self.chaos.lost, self.on.iter().map(|number| &self.faults[*number]));
         if self.chance.random::<f64>() < links.lost {
             return;
         }
