--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -11,6 +11,9 @@
 const PAUSES: [f64; 3] = [1.0, 5.0, 30.0];
 /// Seconds that splits last: too short for a death, and long enough for two.
 const SPLITS: [f64; 3] = [2.0, 10.0, 25.0];
+/// Stewards of a file, and of one whose faults are drawn: a split's side is a bit each.
+const STEWARDS_MOST: u16 = 256;
+const DRAWN_MOST: u16 = 31;
 /// Share that clocks run fast or slow at the most, and seconds they jump.
 const DRIFT: f64 = 0.05;
 const JUMP: f64 = 20.0;
@@ -177,7 +180,7 @@
         let section = sheet.section("chaos");
         let mut chaos = Chaos {
             name: section.or("name", "unnamed".to_owned())?,
-            stewards: section.within("stewards", 3.0, 1.0, 32.0)? as u16,
+            stewards: section.within("stewards", 3.0, 1.0, f64::from(STEWARDS_MOST))? as u16,
             slices: section.within("slices", 48.0, 1.0, 10_000.0)? as u16,
             proxies: section.within("proxies", 6.0, 1.0, 1000.0)? as u16,
             length: section.within("length", 60.0, 20.0, 3600.0)?,
@@ -205,6 +208,11 @@
         if chaos.judged == Judged::Leases && !chaos.named.is_empty() {
             return Err(section.wrong("judge", "must be view where faults are named"));
         }
+        if chaos.stewards > DRAWN_MOST && chaos.named.is_empty() && chaos.faults_most > 0 {
+            return Err(
+                section.wrong("stewards", format!("may be {DRAWN_MOST} at the most where faults are drawn"))
+            );
+        }
         chaos.named.sort_by(|a, b| a.at.total_cmp(&b.at));
         Ok(chaos)
     }
@@ -314,7 +322,7 @@
         }
         "split" => {
             let side = section.list("side").into_iter().map(|id| {
-                let id = id.parse::<u16>().ok().filter(|id| *id < chaos.stewards);
+                let id = id.parse::<u16>().ok().filter(|id| *id < chaos.stewards.min(DRAWN_MOST + 1));
                 id.ok_or_else(|| section.wrong("side", "names stewards, as in 0, 1"))
             });
             let side = side.collect::<Result<Vec<u16>, _>>()?;
--- a/crates/railhub-chaos/src/view/sim.rs
+++ b/crates/railhub-chaos/src/view/sim.rs
@@ -485,6 +485,11 @@
     }
 }
 
+/// Whether a steward is on a split's side; those without a bit are on the other.
+fn is_on(side: u32, steward: u16) -> bool {
+    side.checked_shr(steward.into()).is_some_and(|bits| bits & 1 == 1)
+}
+
 /// Whether one of the faults that are on keeps one steward from reaching another.
 pub(crate) fn is_cut(
     on: &BTreeSet<usize>,
@@ -496,7 +501,7 @@
     apart.contains(&(from.min(to), from.max(to)))
         || on.iter().any(|number| match faults[*number].what {
             What::Cut { from: a, to: b } => (from, to) == (a, b),
-            What::Split { side } => (side >> from & 1) != (side >> to & 1),
+            What::Split { side } => is_on(side, from) != is_on(side, to),
             _ => false,
         })
 }
--- a/crates/railhub-cli/tests/fleet.rs
+++ b/crates/railhub-cli/tests/fleet.rs
@@ -216,6 +216,32 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+/// Words that come without end must not hold up a steward's own turns.
+#[test]
+fn a_steward_that_is_flooded_still_finds_a_death() {
+    let folder = std::env::temp_dir().join(format!("railhub-flooded-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("writable");
+    let (one, conf) = steward(&folder, 1, None);
+    let (two, _) = steward(&folder, 2, Some(one.fleet));
+    let both = |told: &Value| told["agree"] == true && told["views"].as_array().map_or(0, Vec::len) == 2;
+    look_until(&conf, one.fleet, "two that know each other", both);
+    let (ended, to) = (std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)), one.fleet);
+    let stop = ended.clone();
+    let flood = std::thread::spawn(move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        while !stop.load(std::sync::atomic::Ordering::Acquire) {
+            (0..16).for_each(|_| _ = socket.send_to(b"noise", to));
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    });
+    drop(two);
+    let dead = |told: &Value| told["views"][0]["lines"][1]["standing"] == "dead";
+    look_until(&conf, one.fleet, "one that died", dead);
+    ended.store(true, std::sync::atomic::Ordering::Release);
+    flood.join().expect("it ends");
+    let _ = std::fs::remove_dir_all(folder);
+}
+
 /// What is spoilt, foreign, older or too long is dropped, and the steward answers on.
 #[test]
 fn a_hundred_thousand_damaged_datagrams_are_dropped_and_counted_and_answers_go_on() {
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -74,8 +74,9 @@
 #[derive(Clone, Debug)]
 struct Peer {
     since: Seconds,
-    /// When its own word came last, and the turn that it bore.
+    /// When its own word came last, of which process, and the turn that it bore.
     heard_at: Seconds,
+    process: u64,
     turn: u64,
     load: Load,
     withdrawn: bool,
@@ -92,6 +93,7 @@
         Peer {
             since: now,
             heard_at: f64::NEG_INFINITY,
+            process: 0,
             turn: 0,
             load: Load::default(),
             withdrawn: false,
@@ -352,6 +354,7 @@
     pub fn tick(&mut self, now: Seconds) -> (Mail, Vec<Changed>) {
         let (mut mail, mut changed) = (Mail::new(), Vec::new());
         if self.yielded {
+            (self.ticked_at, self.probes_at) = (now, now + PERIOD);
             return (mail, changed);
         }
         self.wake(now);
@@ -597,6 +600,10 @@
         let known =
             self.table.get(message.from.about).is_some_and(|entry| entry.life.process == life.process);
         let Some(peer) = self.peers.get_mut(&message.from.about) else { return false };
+        if known && peer.process != life.process {
+            // Another process: its messages are counted anew.
+            (peer.process, peer.turn) = (life.process, 0);
+        }
         let fresh = known && message.turn > peer.turn;
         if fresh {
             (peer.turn, peer.heard_at, peer.load) = (message.turn, now, message.load);
@@ -765,10 +772,6 @@
         if card_changed || held.standing == Standing::Alive {
             peer.accusers.clear();
         }
-        if held.life.count == 0 && held.standing == Standing::Alive {
-            // Another process: its messages are counted anew.
-            peer.turn = 0;
-        }
         if held.standing == Standing::Suspect {
             peer.accusers.extend(word.by);
         }
@@ -896,4 +899,31 @@
         assert!(flooded(Ask::Probe).rumours() <= 5);
         assert!(flooded(Ask::ProbeFor(StewardId(2))).out.len() <= OUT_MOST);
     }
+    fn word_of(entry: &Entry, turn: u64, ask: Ask) -> Message {
+        let (from, load) = (entry.clone(), Load { proxies: turn as u32, ..Load::default() });
+        Message { from, turn, load, number: 0, ask, news: Vec::new(), names: None, digest: 0 }
+    }
+
+    /// A process that is first heard of when it has rewritten its entry counts its messages anew all the same.
+    #[test]
+    fn a_new_process_is_heard_at_once_and_an_old_message_tells_nothing_of_now() {
+        let mut members = flooded(Ask::Tell);
+        let next =
+            Entry { life: Life { process: 7, count: 3 }, ..Entry::alive(StewardId(1), 7, Card::default()) };
+        members.hear(0.2, &word_of(&next, 5, Ask::Tell));
+        members.hear(0.3, &word_of(&next, 4, Ask::Tell));
+        let shown =
+            members.shown(0.4).into_iter().find(|shown| shown.entry.about == StewardId(1)).expect("known");
+        assert_eq!(shown.load.proxies, 5);
+        assert!((shown.heard_ago - 0.2).abs() < 1e-9);
+    }
+
+    #[test]
+    fn one_that_has_yielded_says_nothing_and_wants_few_turns() {
+        let mut members = flooded(Ask::Tell);
+        let newer = Entry::alive(StewardId(0), 9, Card::default());
+        members.hear(0.2, &word_of(&newer, 1, Ask::Probe));
+        assert!(members.has_yielded());
+        assert!(members.tick(0.5).0.is_empty() && members.next_at() >= 0.69);
+    }
 }
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -229,11 +229,14 @@
 
     fn run(&mut self, ends: &AtomicBool, leaves: &AtomicBool) {
         let mut bytes = [0; BYTES_MOST + 1];
+        // When the next turn is due. A message may bring it forward and never puts it off: words that come without end
+        // must not hold up turns.
+        let mut due = 0.0;
         while !ends.load(Ordering::Acquire) {
             let at = now();
-            let due = self.office.next_at(at);
             if at >= due {
                 self.turn(at);
+                due = self.office.next_at(at);
                 continue;
             }
             let wait = seconds((due - at).min(LONGEST_SLEEP)).max(std::time::Duration::from_micros(100));
@@ -242,10 +245,7 @@
             }
             if let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
                 self.take(&bytes[..length], from);
-            }
-            // A clock that turned while we waited for bytes is not waited for again: a flood must not hold up turns.
-            if now() >= due {
-                self.turn(now());
+                due = due.min(self.office.next_at(now()));
             }
         }
         if leaves.load(Ordering::Acquire) {
--- a/crates/railhub-steward/src/installation.rs
+++ b/crates/railhub-steward/src/installation.rs
@@ -149,6 +149,14 @@
             fault("repeats = safe", "repeats = often"),
             "s.ini:9: [class view] repeats cannot be 'often': safe, keyed, keyed nearby or never"
         );
+        let fleet = |keys: &str| read(&format!("{TEXT}[fleet]\n{keys}")).expect_err("wrong");
+        assert_eq!(fleet("id = 1\n"), "s.ini:13: [fleet] installation is missing");
+        let named = "id = 1\ninstallation = shop\n";
+        assert_eq!(
+            fleet(&format!("{named}join = here\n")),
+            "s.ini:16: [fleet] join cannot be 'here': addresses are needed"
+        );
+        assert_eq!(fleet(&format!("{named}jion = 127.0.0.1:1\n")), "s.ini:16: [fleet] jion is not known");
         assert!(fault("contract_time = 0.8\n", "").contains("[class view] contract_time is missing"));
     }
 }
