--- a/crates/railhub-links/src/udp.rs
+++ b/crates/railhub-links/src/udp.rs
@@ -167,6 +167,9 @@
             return None;
         }
         let (place, _) = self.add(&format!("stranger {count}"), Some(source)).ok()?;
+        // What is answered comes to its public address: it is heard there like at any other, until the relay ends.
+        let shared = self.clone();
+        std::thread::spawn(move || shared.receive(place));
         Some(place)
     }
 
