One agenda, one runner of seeds, one shrinker; relays reset truly and bound their threads

A relay's reset said a proper end first (shutdown before close): both ends now see a reset, as the test asks. Connections held at a cut way were not counted against the bound; a write to one that reads nothing waited for ever. A claim on our name kept adding addresses to join by: it keeps one now. A count at its end could overflow.

--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -1,4 +1,5 @@
 //! Plays a plan's faults on real processes.
+use crate::agenda::Agenda;
 use crate::bed::looker::{Asked, Events, Looker};
 use crate::bed::process::Process;
 use crate::faults::{links_on, Chaos, Fault, LinkFaults, What};
@@ -12,8 +13,7 @@
 use railhub_net::{now, seconds};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
@@ -91,9 +91,7 @@
     on: BTreeSet<usize>,
     apart: BTreeSet<(u16, u16)>,
     starving: BTreeMap<usize, Arc<AtomicBool>>,
-    agenda: BinaryHeap<Reverse<(u64, u64)>>,
-    dues: BTreeMap<u64, Due>,
-    last_due: u64,
+    agenda: Agenda<Due>,
 }
 
 /// Plays one run; waits for its end.
@@ -135,9 +133,7 @@
             on: BTreeSet::new(),
             apart: BTreeSet::new(),
             starving: BTreeMap::new(),
-            agenda: BinaryHeap::new(),
-            dues: BTreeMap::new(),
-            last_due: 0,
+            agenda: Agenda::new(),
         };
         for steward in 0..plan.chaos.stewards {
             bed.add_end(steward, steward.to_string())?;
@@ -234,15 +230,9 @@
         Faults { lost, doubled, reordered, delay, jitter, ..Faults::default() }
     }
 
-    fn due(&mut self, at: f64, due: Due) {
-        self.last_due += 1;
-        self.agenda.push(Reverse(((at * 1e6) as u64, self.last_due)));
-        self.dues.insert(self.last_due, due);
-    }
-
     fn run(&mut self) -> Result<(), String> {
         for (number, fault) in self.plan.faults.iter().enumerate() {
-            self.due(fault.at, Due::On(number));
+            self.agenda.put(fault.at, Due::On(number));
         }
         let first: Vec<u16> =
             (0..self.plan.chaos.stewards).filter(|id| !self.plan.chaos.later.contains(id)).collect();
@@ -252,9 +242,8 @@
         let _looker = Looker::start(&self.installation, self.began, self.asked.clone(), self.events.clone())
             .map_err(|e| format!("no port to look from: {e}"))?;
         let end = ends(self.plan.chaos.length, self.plan.faults);
-        while let Some(Reverse((at, number))) = self.agenda.pop() {
-            std::thread::sleep(seconds(at as f64 / 1e6 - self.at()));
-            let due = self.dues.remove(&number).expect("each due thing is kept");
+        while let Some((at, due)) = self.agenda.next() {
+            std::thread::sleep(seconds(at - self.at()));
             match due {
                 Due::On(number) => self.fault_on(number)?,
                 Due::Off(number) => self.fault_off(number)?,
@@ -270,7 +259,7 @@
         let Fault { at, long, what } = self.plan.faults[number].clone();
         self.see(Seen::Fault { at: self.at(), on: true, fault: what.clone() });
         self.on.insert(number);
-        self.due(at + long, Due::Off(number));
+        self.agenda.put(at + long, Due::Off(number));
         match what {
             What::Kill { steward } | What::Backward { steward } => self.end(steward, Process::kill),
             What::Leave { steward } => self.end(steward, Process::leave),
@@ -340,7 +329,7 @@
             self.start(steward, None)?;
         }
         let next = self.at() + FLAP;
-        self.due(next, Due::Flap { number, until });
+        self.agenda.put(next, Due::Flap { number, until });
         Ok(())
     }
 
--- a/crates/railhub-chaos/src/lib.rs
+++ b/crates/railhub-chaos/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`world`] plays them in simulated time with the very code that stewards run (`railhub-membership`), [`judge`]
 //! looks at what happened alone and knows nothing of leases or of who should hold what, [`shrink`] makes a failing
 //! run small. The same seed is the same run.
+mod agenda;
 pub mod bed;
 pub mod explore;
 pub mod faults;
--- a/crates/railhub-chaos/src/view/sim.rs
+++ b/crates/railhub-chaos/src/view/sim.rs
@@ -1,5 +1,6 @@
 //! Plays a run of views in simulated time, with the code that stewards run: each node is a [`Members`] with a clock
 //! and an address of its own; datagrams are encoded and decoded as on the wire.
+use crate::agenda::Agenda;
 use crate::faults::{links_on, Chaos, Fault, What};
 use crate::view::heartbeat::Heartbeat;
 use crate::view::{ends, Node, Seen};
@@ -11,8 +12,7 @@
 use railhub_membership::StewardId;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Seconds a datagram takes, least and most.
@@ -141,9 +141,7 @@
     how: How,
     now: f64,
     end: f64,
-    agenda: BinaryHeap<Reverse<(u64, u64)>>,
-    dues: BTreeMap<u64, Due>,
-    last_due: u64,
+    agenda: Agenda<Due>,
     nodes: BTreeMap<Node, Process>,
     /// The process that a fault on a steward strikes.
     current: BTreeMap<u16, Node>,
@@ -169,9 +167,7 @@
         how,
         now: 0.0,
         end: ends(chaos.length, faults),
-        agenda: BinaryHeap::new(),
-        dues: BTreeMap::new(),
-        last_due: 0,
+        agenda: Agenda::new(),
         nodes: BTreeMap::new(),
         current: BTreeMap::new(),
         addresses: BTreeMap::new(),
@@ -212,18 +208,15 @@
 
 impl World<'_> {
     fn due(&mut self, at: f64, due: Due) {
-        self.last_due += 1;
-        self.agenda.push(Reverse(((at.max(self.now) * 1e6).ceil() as u64, self.last_due)));
-        self.dues.insert(self.last_due, due);
+        self.agenda.put(at.max(self.now), due);
     }
 
     fn play(&mut self) {
-        while let Some(Reverse((at, number))) = self.agenda.pop() {
-            if at as f64 / 1e6 > self.end || self.last_due > DUES_MOST {
+        while let Some((at, due)) = self.agenda.next() {
+            if at > self.end || self.agenda.count() > DUES_MOST {
                 return;
             }
-            self.now = at as f64 / 1e6;
-            let due = self.dues.remove(&number).expect("each due thing is kept");
+            self.now = at;
             self.handle(due);
         }
     }
--- a/crates/railhub-chaos/src/world.rs
+++ b/crates/railhub-chaos/src/world.rs
@@ -1,5 +1,6 @@
 //! Plays a run: stewards with offices and clocks of their own, a store, proxies that fence, and messages that take
 //! their time.
+use crate::agenda::Agenda;
 use crate::faults::{Chaos, Fault, What};
 use railhub_membership::lease::{Fence, Holding};
 use railhub_membership::office::{Acts, Office, Seat, StoreAsk, StoreSays};
@@ -8,8 +9,7 @@
 use railhub_membership::{Epoch, StewardId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Seconds a message takes, least and most.
 const WAY: (f64, f64) = (0.0005, 0.004);
@@ -91,9 +91,7 @@
     faults: &'a [Fault],
     sabotage: Option<Sabotage>,
     now: f64,
-    agenda: BinaryHeap<Reverse<(u64, u64)>>,
-    dues: BTreeMap<u64, Due>,
-    last_due: u64,
+    agenda: Agenda<Due>,
     stewards: BTreeMap<u16, Steward>,
     speeds: BTreeMap<u16, f64>,
     last_process: u64,
@@ -113,9 +111,7 @@
         faults,
         sabotage,
         now: 0.0,
-        agenda: BinaryHeap::new(),
-        dues: BTreeMap::new(),
-        last_due: 0,
+        agenda: Agenda::new(),
         stewards: BTreeMap::new(),
         speeds: BTreeMap::new(),
         last_process: 0,
@@ -142,9 +138,7 @@
 
 impl World<'_> {
     fn due(&mut self, at: f64, due: Due) {
-        self.last_due += 1;
-        self.agenda.push(Reverse(((at.max(self.now) * 1e6).ceil() as u64, self.last_due)));
-        self.dues.insert(self.last_due, due);
+        self.agenda.put(at.max(self.now), due);
     }
 
     fn way(&mut self) -> f64 {
@@ -152,12 +146,11 @@
     }
 
     fn play(&mut self) {
-        while let Some(Reverse((at, number))) = self.agenda.pop() {
-            self.now = at as f64 / 1e6;
+        while let Some((at, due)) = self.agenda.next() {
+            self.now = at;
             if self.now > self.chaos.length {
                 return;
             }
-            let due = self.dues.remove(&number).expect("each due thing is kept");
             self.handle(due);
         }
     }
--- a/crates/railhub-cli/src/chaos.rs
+++ b/crates/railhub-cli/src/chaos.rs
@@ -1,16 +1,13 @@
 //! `railhub chaos`: stewards that share a fleet, with faults drawn from seeds.
+use crate::runs::{cores, each, quantile};
 use crate::Ending;
 use clap::{Args, ValueEnum};
-use indicatif::{ProgressBar, ProgressStyle};
 use railhub_chaos::judge::{figures, judge, Breach};
 use railhub_chaos::shrink::shrink;
 use railhub_chaos::{run as play, Chaos, Fault, Judged, Sabotage};
 use railhub_membership::table::Defence;
 use serde::Serialize;
-use std::io::IsTerminal;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 #[derive(Args)]
 pub struct ChaosArguments {
@@ -130,38 +127,14 @@
         return Err(Ending::Input("that sabotage is of views; this file judges leases".into()));
     }
     let sabotage = sabotage.flatten();
-    let bar = match std::io::stderr().is_terminal() {
-        true => ProgressBar::new(arguments.runs),
-        false => ProgressBar::hidden(),
-    };
-    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} left");
-    let bar = bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
-    let (next, failed, taken_up) = (AtomicU64::new(0), Mutex::new(Vec::new()), Mutex::new(Vec::new()));
-    let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= arguments.runs {
-                    return;
-                }
-                let seed = arguments.seed + number;
-                let events = play(&chaos, seed, &chaos.faults(seed), sabotage);
-                taken_up.lock().expect("no holder panics").extend(figures(&events).taken_up);
-                if !judge(&events).is_empty() {
-                    failed.lock().expect("no holder panics").push(seed);
-                }
-                bar.inc(1);
-            });
-        }
+    let runs = each(arguments.seed, arguments.runs, cores(), |seed| {
+        let events = play(&chaos, seed, &chaos.faults(seed), sabotage);
+        (figures(&events).taken_up, !judge(&events).is_empty())
     });
-    bar.finish_and_clear();
-    let mut failed: Vec<u64> = failed.into_inner().expect("no holder panics");
-    failed.sort_unstable();
-    let mut taken_up: Vec<f64> = taken_up.into_inner().expect("no holder panics");
+    let failed: Vec<u64> = runs.iter().filter(|(_, ran)| ran.1).map(|(seed, _)| *seed).collect();
+    let mut taken_up: Vec<f64> = runs.into_iter().flat_map(|(_, ran)| ran.0).collect();
     taken_up.sort_by(f64::total_cmp);
-    let at =
-        |share: f64| taken_up.get(((taken_up.len().max(1) - 1) as f64 * share).round() as usize).copied();
+    let at = |share: f64| quantile(&taken_up, share);
     let told = Told {
         chaos: chaos.name.clone(),
         how: "simulated",
--- a/crates/railhub-cli/src/chaos_view.rs
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -1,16 +1,16 @@
 //! `railhub chaos` for files that judge the view: in simulated time, or on real processes.
 use crate::chaos::ChaosArguments;
+use crate::runs::{cores, each, quantile};
 use crate::Ending;
 use railhub_chaos::bed::{play, scratch, Plan};
 use railhub_chaos::judge::Breach;
+use railhub_chaos::shrink::fewest;
 use railhub_chaos::view::judge::{figures, judge, ViewFigures};
 use railhub_chaos::view::sim::{run as simulate, How, JOIN_BY};
 use railhub_chaos::view::Seen;
 use railhub_chaos::{Chaos, Fault};
 use serde::Serialize;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 /// A run that broke a rule.
 #[derive(Clone, Serialize)]
@@ -59,27 +59,9 @@
         return Err(Ending::Input("--baseline is played in simulated time".into()));
     }
     let how = How { without: without.flatten(), forget_after: 0.0, heartbeats };
-    let threads = match arguments.loopback {
-        true => arguments.at_once as usize,
-        false => std::thread::available_parallelism().map_or(1, |n| n.get()),
-    };
+    let at_once = if arguments.loopback { arguments.at_once as usize } else { cores() };
     let show = arguments.runs == 1 && !chaos.named.is_empty() && !arguments.json;
-    let (next, all) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| loop {
-                let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= arguments.runs {
-                    return;
-                }
-                let seed = arguments.seed + number;
-                let run = one(chaos, seed, how, arguments, show);
-                all.lock().expect("no holder panics").push((seed, run));
-            });
-        }
-    });
-    let mut all = all.into_inner().expect("no holder panics");
-    all.sort_by_key(|(seed, _)| *seed);
+    let all = each(arguments.seed, arguments.runs, at_once, |seed| one(chaos, seed, how, arguments, show));
     let mut runs = Vec::new();
     for (seed, run) in all {
         runs.push(run.map_err(|what| Ending::Input(format!("seed {seed}: {what}")))?);
@@ -150,24 +132,10 @@
 /// The fewest of the faults that break the same rule in simulated time; `None`: they do not break it there.
 fn shrink(chaos: &Chaos, seed: u64, faults: &[Fault], how: How, rule: &str) -> Option<Vec<Fault>> {
     let breaks = |faults: &[Fault]| {
-        judge(&simulate(chaos, seed, faults, how)).iter().any(|breach| breach.rule == rule)
+        let breaches = judge(&simulate(chaos, seed, faults, how));
+        breaches.iter().any(|breach| breach.rule == rule).then_some(())
     };
-    let mut left = breaks(faults).then(|| faults.to_vec())?;
-    let mut place = 0;
-    while place < left.len() {
-        let mut fewer = left.clone();
-        fewer.remove(place);
-        if breaks(&fewer) {
-            left = fewer;
-        } else {
-            place += 1;
-        }
-    }
-    Some(left)
-}
-
-fn at(sorted: &[f64], share: f64) -> Option<f64> {
-    sorted.get(((sorted.len().max(1) - 1) as f64 * share).round() as usize).copied()
+    fewest(faults, breaks).map(|(faults, ())| faults)
 }
 
 fn sum_up(chaos: &Chaos, arguments: &ChaosArguments, runs: &[Ran]) -> Told {
@@ -187,11 +155,11 @@
         failed: failed.len() as u64,
         seeds_failed: failed.iter().map(|failed| failed.seed).collect(),
         first: failed.first().map(|first| (*first).clone()),
-        settled_half: at(&settled, 0.5),
-        settled_99: at(&settled, 0.99),
+        settled_half: quantile(&settled, 0.5),
+        settled_99: quantile(&settled, 0.99),
         deaths_shown: known.len(),
-        known_half: at(&known, 0.5),
-        known_99: at(&known, 0.99),
+        known_half: quantile(&known, 0.5),
+        known_99: quantile(&known, 0.99),
         slanders_an_hour: slanders as f64 / hours.max(1e-9),
         datagrams: runs.iter().map(|run| run.figures.datagrams).sum::<f64>() / count,
         bytes: runs.iter().map(|run| run.figures.bytes).sum::<f64>() / count,
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod launch;
 mod logs;
 mod model;
+mod runs;
 mod standin;
 mod steward;
 mod traffic;
--- a/crates/railhub-links/src/tcp.rs
+++ b/crates/railhub-links/src/tcp.rs
@@ -5,7 +5,7 @@
 use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -25,10 +25,20 @@
     from: End,
     to: End,
     target: Mutex<Option<SocketAddr>>,
-    open: Mutex<Vec<(TcpStream, TcpStream)>>,
+    open: Mutex<Vec<Open>>,
+    /// Connections that are being taken or pumped.
+    count: AtomicUsize,
     ended: AtomicBool,
 }
 
+/// One connection through the relay.
+struct Open {
+    near: TcpStream,
+    far: TcpStream,
+    /// It ends without a word: both sides are reset.
+    reset: Arc<AtomicBool>,
+}
+
 /// A relay from one end to another; dropping it ends its connections.
 pub struct TcpLink {
     pub address: SocketAddr,
@@ -47,6 +57,7 @@
             to: to.to_owned(),
             target: Mutex::new(target),
             open: Mutex::default(),
+            count: AtomicUsize::new(0),
             ended: AtomicBool::new(false),
         });
         let serving = shared.clone();
@@ -62,11 +73,13 @@
     /// Ends all connections at once, both sides with a reset.
     pub fn reset(&self) -> usize {
         let open = std::mem::take(&mut *self.shared.open.lock().expect("no holder panics"));
-        for (a, b) in &open {
-            for stream in [a, b] {
+        for one in &open {
+            // A socket that lingers for no time is reset when the last of its holders lets it go: the pumps, which look
+            // at the flag. Shutting it down first would say a proper end instead.
+            for stream in [&one.near, &one.far] {
                 let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-                let _ = stream.shutdown(Shutdown::Both);
             }
+            one.reset.store(true, Ordering::Release);
         }
         self.shared.board.note_resets(&self.shared.from, &self.shared.to, open.len());
         open.len()
@@ -85,9 +98,15 @@
     fn serve(self: &Arc<Shared>, listener: &TcpListener) {
         while !self.ended.load(Ordering::Acquire) {
             match listener.accept() {
+                // Too many: this one is closed at once.
+                Ok(_) if self.count.load(Ordering::Acquire) >= CONNECTIONS_MOST => {}
                 Ok((near, _)) => {
+                    self.count.fetch_add(1, Ordering::AcqRel);
                     let shared = self.clone();
-                    std::thread::spawn(move || shared.join(near));
+                    std::thread::spawn(move || {
+                        shared.join(near);
+                        shared.count.fetch_sub(1, Ordering::AcqRel);
+                    });
                 }
                 Err(_) => std::thread::sleep(LOOK_EVERY / 4),
             }
@@ -111,45 +130,64 @@
         let far = target.and_then(|target| TcpStream::connect_timeout(&target, DIAL_WITHIN).ok());
         let Some(far) = far else { return };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let reset = Arc::new(AtomicBool::new(false));
         let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { return };
-        {
+        if let (Ok(near), Ok(far)) = (near.try_clone(), far.try_clone()) {
             let mut open = self.open.lock().expect("no holder panics");
-            // Those that ended by themselves are let go.
-            open.retain(|(near, _)| near.take_error().is_ok_and(|e| e.is_none()) && near.peer_addr().is_ok());
-            if open.len() >= CONNECTIONS_MOST {
-                return;
-            }
-            if let (Ok(a), Ok(b)) = (near.try_clone(), far.try_clone()) {
-                open.push((a, b));
-            }
+            // Those whose pumps have ended are let go.
+            open.retain(|one| Arc::strong_count(&one.reset) > 1);
+            open.push(Open { near, far, reset: reset.clone() });
         }
-        let shared = self.clone();
-        std::thread::spawn(move || shared.pump(far_too, near_too, false));
-        self.pump(near, far, true);
+        let (shared, also) = (self.clone(), reset.clone());
+        let back = std::thread::spawn(move || shared.pump(far_too, near_too, false, &also));
+        self.pump(near, far, true, &reset);
+        let _ = back.join();
     }
 
-    fn pump(&self, mut from: TcpStream, mut to: TcpStream, forth: bool) {
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, forth: bool, reset: &AtomicBool) {
         let (a, b) = if forth { (&self.from, &self.to) } else { (&self.to, &self.from) };
-        let _ = from.set_read_timeout(Some(LOOK_EVERY));
+        let _ = (from.set_read_timeout(Some(LOOK_EVERY)), to.set_write_timeout(Some(LOOK_EVERY)));
         let mut piece = vec![0; PIECE];
         while !self.ended.load(Ordering::Acquire) {
+            if reset.load(Ordering::Acquire) {
+                return;
+            }
             let length = match from.read(&mut piece) {
                 Ok(0) => break,
                 Ok(length) => length,
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
                 Err(_) => break,
             };
-            if !self.wait_for_way(a, b, length) || to.write_all(&piece[..length]).is_err() {
+            if !self.wait_for_way(a, b, length, reset) || !self.write(&mut to, &piece[..length], reset) {
                 break;
             }
         }
-        let _ = (from.shutdown(Shutdown::Read), to.shutdown(Shutdown::Write));
+        if !reset.load(Ordering::Acquire) {
+            let _ = (from.shutdown(Shutdown::Read), to.shutdown(Shutdown::Write));
+        }
     }
 
-    /// Holds a piece until its way lets it through; false: the relay has ended.
-    fn wait_for_way(&self, from: &str, to: &str, bytes: usize) -> bool {
+    /// Writes all of a piece, however slowly it is read; false: somebody ended it.
+    fn write(&self, to: &mut TcpStream, piece: &[u8], reset: &AtomicBool) -> bool {
+        let mut written = 0;
+        while written < piece.len() {
+            if self.ended.load(Ordering::Acquire) || reset.load(Ordering::Acquire) {
+                return false;
+            }
+            match to.write(&piece[written..]) {
+                Ok(0) => return false,
+                Ok(length) => written += length,
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Holds a piece until its way lets it through; false: the relay or the connection has ended.
+    fn wait_for_way(&self, from: &str, to: &str, bytes: usize, reset: &AtomicBool) -> bool {
         loop {
-            if self.ended.load(Ordering::Acquire) {
+            if self.ended.load(Ordering::Acquire) || reset.load(Ordering::Acquire) {
                 return false;
             }
             if let Some(at) = self.board.pass(from, to, bytes).first() {
--- a/crates/railhub-links/tests/relays.rs
+++ b/crates/railhub-links/tests/relays.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Within this a thing happens on loopback, or it does not happen.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -72,6 +72,9 @@
     near.read_exact(&mut bytes).expect("it comes after all");
     assert_eq!(&bytes, b"world");
     assert_eq!(link.reset(), 1);
-    let began = Instant::now();
-    assert!(!matches!(near.read(&mut bytes), Ok(n) if n > 0) && began.elapsed() < PATIENCE);
+    let ended = near.read(&mut bytes).expect_err("no proper end");
+    assert_eq!(ended.kind(), std::io::ErrorKind::ConnectionReset);
+    far.set_read_timeout(Some(PATIENCE)).expect("settable");
+    let ended = far.read(&mut bytes).expect_err("no proper end");
+    assert_eq!(ended.kind(), std::io::ErrorKind::ConnectionReset);
 }
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -120,6 +120,14 @@
     behalf: Option<(StewardId, u64)>,
 }
 
+/// A process of our name that was spoken of.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    process: u64,
+    address: Option<SocketAddr>,
+    at: Seconds,
+}
+
 /// One line of a view, for those who look at it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shown {
@@ -150,8 +158,8 @@
     compare_from: StewardId,
     seek_at: Seconds,
     seek_span: Seconds,
-    /// A process of our name with a higher number that was spoken of, and since when.
-    claim: Option<(u64, Seconds)>,
+    /// A process of our name with a higher number that was spoken of, where it is reached, and since when.
+    claim: Option<Claim>,
     yielded: bool,
     refused: u64,
     chance: ChaCha8Rng,
@@ -346,7 +354,7 @@
         let soon = now + PERIOD;
         (self.ticked_at, self.probes_at) = (now, self.probes_at.min(soon));
         (self.compare_at, self.seek_at) = (self.compare_at.min(soon), self.seek_at.min(now + SEEK_SLOWLY));
-        self.claim = self.claim.map(|(process, at)| (process, at.min(now)));
+        self.claim = self.claim.map(|claim| Claim { at: claim.at.min(now), ..claim });
     }
 
     /// What is due: probes, those that ended without an answer, suspicions that are over, the dead to be asked, those
@@ -373,6 +381,7 @@
             self.warn_suspect(now, &mut mail);
             self.ask_a_dead(now, &mut mail);
             self.seek(now, &mut mail);
+            self.ask_claimant(&mut mail);
         }
         (mail, changed)
     }
@@ -824,19 +833,23 @@
 
     /// A process of our name with a higher number is spoken of: either it lives, or a clock was set back since.
     fn claimed(&mut self, now: Seconds, word: &Entry) {
-        if self.claim.is_none_or(|(process, _)| process < word.life.process) {
-            self.claim = Some((word.life.process, now));
-            if let Some(address) = word.card.address.filter(|own| Some(*own) != self.table.me().card.address)
-            {
-                self.manners.seeds.retain(|seed| *seed != address);
-                self.manners.seeds.push(address);
-                self.seek_at = now;
-            }
+        if self.claim.is_none_or(|claim| claim.process < word.life.process) {
+            let own = self.table.me().card.address;
+            let address = word.card.address.filter(|address| Some(*address) != own);
+            self.claim = Some(Claim { process: word.life.process, address, at: now });
+        }
+    }
+
+    fn ask_claimant(&mut self, mail: &mut Mail) {
+        if let Some(address) = self.claim.and_then(|claim| claim.address) {
+            self.send(To::Address(address), 0, Ask::Probe, Vec::new(), mail);
         }
     }
 
     fn end_claim(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
-        let Some((process, at)) = self.claim.filter(|(_, at)| now - at >= CLAIM_FOR) else { return };
+        let Some(Claim { process, at, .. }) = self.claim.filter(|claim| now - claim.at >= CLAIM_FOR) else {
+            return;
+        };
         self.claim = None;
         self.table.rise_above(process);
         let me = self.table.me().clone();
--- a/crates/railhub-membership/src/table.rs
+++ b/crates/railhub-membership/src/table.rs
@@ -122,7 +122,7 @@
 
     /// Our process takes a higher number: one of ours had it before, or we were forgotten.
     pub fn rise_above(&mut self, process: u64) {
-        self.me.life = Life { process: process.max(self.me.life.process) + 1, count: 0 };
+        self.me.life = Life { process: process.max(self.me.life.process).saturating_add(1), count: 0 };
         self.sum_up();
     }
 
@@ -186,7 +186,7 @@
         if word.standing == Standing::Forgotten {
             self.rise_above(mine.process);
         } else if word.life.count >= mine.count {
-            self.me.life.count = word.life.count + 1;
+            self.me.life.count = word.life.count.saturating_add(1);
             self.sum_up();
         }
         Learnt::Refuted
