--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -7,6 +7,10 @@
 //! A *slow* steward is scored ([`crate::score`]): each steward names the one that stands out, and one that most of
 //! the others name is withdrawn: it lives, and bears no slices. Each names one at the most, so at most one can be
 //! named by most.
+mod joining;
+mod probing;
+mod slowness;
+
 use crate::entry::{Entry, Life, Load, Standing};
 use crate::health::Health;
 use crate::rumours::Rumours;
@@ -27,8 +31,6 @@
 const PROBE_ENDS: Seconds = 0.4;
 /// Probes that are out at once: past it others' are not made, and they learn nothing from us.
 const OUT_MOST: usize = 64;
-/// Others that are asked to probe.
-const THROUGH: usize = 3;
 /// Seconds a suspicion stands before it is held for certain, times the logarithm of the stewards' number: long
 /// enough for the word to come round and back. Without a second accuser so many times longer, and how many make it
 /// certain.
@@ -48,10 +50,6 @@
 const SEEK: Seconds = 0.3;
 const SEEK_MOST: Seconds = 3.0;
 const SEEK_SLOWLY: Seconds = 60.0;
-/// Seconds in which a process of our name with a higher number must speak, or it is one of our past.
-const CLAIM_FOR: Seconds = 2.0;
-/// Seconds that another's word on who stands out counts.
-const NAMED_FOR: Seconds = 5.0;
 
 /// What the file says of membership.
 #[derive(Clone, Debug)]
@@ -386,86 +384,6 @@
         (mail, changed)
     }
 
-    fn send_probe(
-        &mut self,
-        now: Seconds,
-        to: StewardId,
-        behalf: Option<(StewardId, u64)>,
-        first: Vec<Entry>,
-        mail: &mut Mail,
-    ) {
-        self.number += 1;
-        let number = self.number;
-        self.send(To::Steward(to), number, Ask::Probe, first, mail);
-        let through = behalf.is_some();
-        self.out.push(Out { number, to, at: now, through, helpers: 0, helped: false, behalf });
-    }
-
-    /// A suspect is asked once more each time, and told what it is suspected of: on a net that loses messages its
-    /// own word must have more than one way back.
-    fn warn_suspect(&mut self, now: Seconds, mail: &mut Mail) {
-        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
-        let suspects: Vec<Entry> = suspects.cloned().collect();
-        if let Some(word) = suspects.choose(&mut self.chance).cloned() {
-            self.send_probe(now, word.about, None, vec![word], mail);
-        }
-    }
-
-    /// Each other that lives in turn, in an order that is shuffled anew each time: a dead one is met within two
-    /// rounds.
-    fn next_target(&mut self) -> Option<StewardId> {
-        loop {
-            if self.order.is_empty() {
-                self.order = self.living().collect();
-                self.order.shuffle(&mut self.chance);
-            }
-            let id = self.order.pop()?;
-            if self.standing(id).lives() {
-                return Some(id);
-            }
-        }
-    }
-
-    /// Two halves of a split find each other again only if those held for dead are asked now and then; ever less
-    /// often, since most of the dead are dead.
-    fn ask_a_dead(&mut self, now: Seconds, mail: &mut Mail) {
-        if self.table.lacks(Defence::AskingTheDead) {
-            return;
-        }
-        let dead = self.table.others().filter(|entry| entry.standing == Standing::Dead);
-        let due = dead.filter_map(|entry| Some((self.peers.get(&entry.about)?.ask_at, entry.clone())));
-        let first = due.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.about.cmp(&b.1.about)));
-        let Some((_, word)) = first.filter(|(at, _)| *at <= now) else { return };
-        let part = 0.8 + 0.4 * self.chance.random::<f64>();
-        if let Some(peer) = self.peers.get_mut(&word.about) {
-            peer.ask_span = (peer.ask_span * 2.0).min(ASK_DEAD_MOST);
-            peer.ask_at = now + peer.ask_span * part;
-        }
-        self.send(To::Steward(word.about), 0, Ask::Probe, vec![word], mail);
-    }
-
-    /// While nobody is known to live, each address of the file is asked; else one of them now and then.
-    fn seek(&mut self, now: Seconds, mail: &mut Mail) {
-        if now < self.seek_at || self.manners.seeds.is_empty() {
-            return;
-        }
-        let part = 0.7 + 0.6 * self.chance.random::<f64>();
-        let known: BTreeSet<SocketAddr> = self.living().filter_map(|id| self.address(id)).collect();
-        let own = self.table.me().card.address;
-        let strange = |seed: &SocketAddr| !known.contains(seed) && Some(*seed) != own;
-        let mut seeds: Vec<SocketAddr> = self.manners.seeds.iter().copied().filter(strange).collect();
-        if self.alive() > 1 {
-            seeds = seeds.choose(&mut self.chance).copied().into_iter().collect();
-            (self.seek_at, self.seek_span) = (now + SEEK_SLOWLY * part, SEEK);
-        } else {
-            self.seek_at = now + self.seek_span * part;
-            self.seek_span = (self.seek_span * 1.5).min(SEEK_MOST);
-        }
-        for seed in seeds {
-            self.send(To::Address(seed), 0, Ask::Probe, Vec::new(), mail);
-        }
-    }
-
     fn forget_the_gone(&mut self, now: Seconds) {
         let gone = self.table.others().filter(|entry| !entry.standing.lives()).map(|entry| entry.about);
         let gone =
@@ -477,86 +395,6 @@
         }
     }
 
-    fn end_probes(&mut self, now: Seconds, mail: &mut Mail, changed: &mut Vec<Changed>) {
-        self.ask_through_others(now, mail);
-        let ends = PROBE_ENDS * self.patience();
-        let is_over = |out: &Out| now - out.at >= if out.behalf.is_some() { PROBE_ENDS / 2.0 } else { ends };
-        let over: Vec<Out> = self.out.iter().filter(|out| is_over(out)).cloned().collect();
-        self.out.retain(|out| !is_over(out));
-        for out in over {
-            if let Some((asker, number)) = out.behalf {
-                self.send(To::Steward(asker), number, Ask::NoAnswerOf(out.to), Vec::new(), mail);
-                continue;
-            }
-            if out.helpers > 0 && !out.helped {
-                self.health.heard_nothing();
-            }
-            if let Some(peer) = self.peers.get_mut(&out.to) {
-                peer.answers.judge(now, true);
-            }
-            self.suspect(now, out.to, out.helpers, changed);
-        }
-    }
-
-    fn ask_through_others(&mut self, now: Seconds, mail: &mut Mail) {
-        let patience = self.patience();
-        let late_after = |id: &StewardId| {
-            let answers = self.peers.get(id).map(|peer| peer.answers).unwrap_or_default();
-            answers.late_after(PROBE_ENDS / 2.0) * patience
-        };
-        let late = self.out.iter().filter(|out| !out.through && now - out.at >= late_after(&out.to));
-        let late: Vec<(u64, StewardId)> = late.map(|out| (out.number, out.to)).collect();
-        for (number, to) in late {
-            let mut others: Vec<StewardId> =
-                self.living().filter(|id| *id != to && self.standing(*id) == Standing::Alive).collect();
-            others.shuffle(&mut self.chance);
-            others.truncate(THROUGH);
-            if let Some(out) = self.out.iter_mut().find(|out| out.number == number) {
-                (out.through, out.helpers) = (true, others.len());
-            }
-            for other in others {
-                self.send(To::Steward(other), number, Ask::ProbeFor(to), Vec::new(), mail);
-            }
-        }
-    }
-
-    fn suspect(&mut self, now: Seconds, about: StewardId, helpers: usize, changed: &mut Vec<Changed>) {
-        let Some(entry) = self.table.get(about).filter(|entry| entry.standing.lives()) else { return };
-        let word = Entry { standing: Standing::Suspect, by: Some(self.me()), ..entry.clone() };
-        let why = format!("it answered neither us nor {helpers} others that we asked to probe it");
-        self.take_in(now, &word, &why, changed);
-    }
-
-    /// How long a suspicion stands: the more that accuse independently, the shorter; the worse we fare ourselves,
-    /// the longer.
-    fn suspected_for(&self, peer: &Peer) -> Seconds {
-        let alive = self.alive();
-        let base = SUSPECTED_FOR * (alive as f64).ln().max(1.0);
-        if self.table.lacks(Defence::OwnTrouble) {
-            return base;
-        }
-        let needed = ACCUSERS.min(alive.saturating_sub(2));
-        let more = peer.accusers.len().saturating_sub(1).min(needed);
-        let share = if needed == 0 { 0.5 } else { ((more + 1) as f64).ln() / ((needed + 1) as f64).ln() };
-        let longest = base * ALONE_LONGER;
-        (longest - (longest - base) * share) * self.patience()
-    }
-
-    fn end_suspicions(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
-        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
-        let over = suspects.filter(|entry| {
-            let peer = self.peers.get(&entry.about);
-            peer.is_some_and(|peer| now - peer.since >= self.suspected_for(peer))
-        });
-        for entry in over.cloned().collect::<Vec<_>>() {
-            let accusers = self.peers.get(&entry.about).map(|peer| peer.accusers.clone()).unwrap_or_default();
-            let accusers: Vec<String> = accusers.iter().map(|id| id.0.to_string()).collect();
-            let why = format!("suspected by {}, and it said nothing", accusers.join(", "));
-            let word = Entry { standing: Standing::Dead, by: Some(self.me()), ..entry };
-            self.take_in(now, &word, &why, changed);
-        }
-    }
-
     /// Takes in a message; what is to be answered.
     pub fn hear(&mut self, now: Seconds, message: &Message) -> (Mail, Vec<Changed>) {
         let (mut mail, mut changed) = (Mail::new(), Vec::new());
@@ -677,69 +515,6 @@
         self.send(To::Steward(with), 0, Ask::Compare { from, to, lines }, Vec::new(), mail);
     }
 
-    fn answered(
-        &mut self,
-        now: Seconds,
-        from: StewardId,
-        number: u64,
-        mail: &mut Mail,
-        changed: &mut Vec<Changed>,
-    ) {
-        let Some(place) = self.out.iter().position(|out| out.number == number && out.to == from) else {
-            return;
-        };
-        let out = self.out.remove(place);
-        if let Some((asker, number)) = out.behalf {
-            self.send(To::Steward(asker), number, Ask::AnswerOf(from), Vec::new(), mail);
-            return;
-        }
-        let Some(peer) = self.peers.get_mut(&from) else { return };
-        let was_late = now - out.at > peer.answers.late_after(PROBE_ENDS / 2.0);
-        peer.answers.add(now, (now - out.at).min(PROBE_ENDS));
-        peer.answers.judge(now, was_late);
-        if !was_late {
-            self.health.did_well();
-        }
-        self.look_for_withdrawn(now, changed);
-    }
-
-    /// The one of those that live whose score stands out, if one does.
-    fn outlier(&self) -> Option<StewardId> {
-        let alive = self.table.others().filter(|entry| entry.standing == Standing::Alive);
-        let score = |id: StewardId| self.peers.get(&id).map_or(0.0, |peer| peer.answers.score);
-        let mut scores: Vec<(f64, StewardId)> =
-            alive.map(|entry| (score(entry.about), entry.about)).collect();
-        scores.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let next = scores.get(1).map_or(0.0, |score| score.0);
-        scores.first().filter(|worst| worst.0 > next + GAP).map(|worst| worst.1)
-    }
-
-    /// Most of those that live name it. Two cannot judge each other: with fewer than three nobody is withdrawn.
-    fn is_named(&self, id: StewardId, now: Seconds) -> bool {
-        let alive = self.alive();
-        let fresh = |named: &(&StewardId, &Peer)| {
-            self.standing(*named.0) == Standing::Alive
-                && named.1.names.is_some_and(|(named, at)| named == id && now - at <= NAMED_FOR)
-        };
-        let ours = usize::from(id != self.me() && self.outlier() == Some(id));
-        let names = ours + self.peers.iter().filter(fresh).count();
-        alive >= 3 && names * 2 > alive
-    }
-
-    fn look_for_withdrawn(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
-        let ids: Vec<StewardId> = self.peers.keys().copied().collect();
-        for id in ids {
-            let named = self.is_named(id, now);
-            let (Some(peer), Some(entry)) = (self.peers.get_mut(&id), self.table.get(id)) else { continue };
-            if peer.withdrawn != named {
-                peer.withdrawn = named;
-                let why = if named { "most others find it late" } else { "it answers in time again" };
-                let (life, standing) = (entry.life, entry.standing);
-                changed.push(Changed { about: id, life, standing, withdrawn: named, why: why.into() });
-            }
-        }
-    }
-
     /// Takes in one word, whoever brought it.
     fn take_in(&mut self, now: Seconds, word: &Entry, why: &str, changed: &mut Vec<Changed>) -> Learnt {
         let protects = !self.table.lacks(Defence::OwnTrouble);
@@ -805,68 +580,6 @@
         }
     }
 
-    /// A message under our own name. Ours come back by an address of the file that is our own; an older process is
-    /// told that we follow it; a newer one is obeyed.
-    fn hear_own_name(
-        &mut self,
-        now: Seconds,
-        message: &Message,
-        mail: &mut Mail,
-        changed: &mut Vec<Changed>,
-    ) {
-        let (theirs, ours) = (message.from.life.process, self.table.me().life.process);
-        if theirs < ours {
-            if let Some(address) = message.from.card.address {
-                self.send(To::Address(address), message.number, Ask::Answer, Vec::new(), mail);
-            }
-        }
-        if theirs <= ours || self.table.lacks(Defence::Process) {
-            return;
-        }
-        self.yielded = true;
-        self.wake(now);
-        let me = self.table.me();
-        let why = format!("process {theirs} lives under our name: ours, {ours}, takes no part any more");
-        let (about, life) = (me.about, me.life);
-        changed.push(Changed { about, life, standing: Standing::Left, withdrawn: true, why });
-    }
-
-    /// A process of our name with a higher number is spoken of: either it lives, or a clock was set back since.
-    fn claimed(&mut self, now: Seconds, word: &Entry) {
-        if self.claim.is_none_or(|claim| claim.process < word.life.process) {
-            let own = self.table.me().card.address;
-            let address = word.card.address.filter(|address| Some(*address) != own);
-            self.claim = Some(Claim { process: word.life.process, address, at: now });
-        }
-    }
-
-    fn ask_claimant(&mut self, mail: &mut Mail) {
-        if let Some(address) = self.claim.and_then(|claim| claim.address) {
-            self.send(To::Address(address), 0, Ask::Probe, Vec::new(), mail);
-        }
-    }
-
-    fn end_claim(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
-        let Some(Claim { process, at, .. }) = self.claim.filter(|claim| now - claim.at >= CLAIM_FOR) else {
-            return;
-        };
-        self.claim = None;
-        self.table.rise_above(process);
-        let me = self.table.me().clone();
-        let why = format!(
-            "process {process} of ours is spoken of and silent since {:.1} s: we go above it",
-            now - at
-        );
-        changed.push(Changed {
-            about: me.about,
-            life: me.life,
-            standing: me.standing,
-            withdrawn: false,
-            why,
-        });
-        self.rumours.tell_first(me);
-    }
-
     /// Tells the others that we go.
     pub fn leave(&mut self, _now: Seconds) -> Mail {
         self.table.leave();
--- /dev/null
+++ b/crates/railhub-membership/src/swim/joining.rs
@@ -0,0 +1,91 @@
+//! Finding the fleet, and settling who bears our name in it.
+use super::*;
+
+/// Seconds in which a process of our name with a higher number must speak, or it is one of our past.
+const CLAIM_FOR: Seconds = 2.0;
+
+impl Members {
+    /// While nobody is known to live, each address of the file is asked; else one of them now and then.
+    pub(super) fn seek(&mut self, now: Seconds, mail: &mut Mail) {
+        if now < self.seek_at || self.manners.seeds.is_empty() {
+            return;
+        }
+        let part = 0.7 + 0.6 * self.chance.random::<f64>();
+        let known: BTreeSet<SocketAddr> = self.living().filter_map(|id| self.address(id)).collect();
+        let own = self.table.me().card.address;
+        let strange = |seed: &SocketAddr| !known.contains(seed) && Some(*seed) != own;
+        let mut seeds: Vec<SocketAddr> = self.manners.seeds.iter().copied().filter(strange).collect();
+        if self.alive() > 1 {
+            seeds = seeds.choose(&mut self.chance).copied().into_iter().collect();
+            (self.seek_at, self.seek_span) = (now + SEEK_SLOWLY * part, SEEK);
+        } else {
+            self.seek_at = now + self.seek_span * part;
+            self.seek_span = (self.seek_span * 1.5).min(SEEK_MOST);
+        }
+        for seed in seeds {
+            self.send(To::Address(seed), 0, Ask::Probe, Vec::new(), mail);
+        }
+    }
+
+    /// A message under our own name. Ours come back by an address of the file that is our own; an older process is
+    /// told that we follow it; a newer one is obeyed.
+    pub(super) fn hear_own_name(
+        &mut self,
+        now: Seconds,
+        message: &Message,
+        mail: &mut Mail,
+        changed: &mut Vec<Changed>,
+    ) {
+        let (theirs, ours) = (message.from.life.process, self.table.me().life.process);
+        if theirs < ours {
+            if let Some(address) = message.from.card.address {
+                self.send(To::Address(address), message.number, Ask::Answer, Vec::new(), mail);
+            }
+        }
+        if theirs <= ours || self.table.lacks(Defence::Process) {
+            return;
+        }
+        self.yielded = true;
+        self.wake(now);
+        let me = self.table.me();
+        let why = format!("process {theirs} lives under our name: ours, {ours}, takes no part any more");
+        let (about, life) = (me.about, me.life);
+        changed.push(Changed { about, life, standing: Standing::Left, withdrawn: true, why });
+    }
+
+    /// A process of our name with a higher number is spoken of: either it lives, or a clock was set back since.
+    pub(super) fn claimed(&mut self, now: Seconds, word: &Entry) {
+        if self.claim.is_none_or(|claim| claim.process < word.life.process) {
+            let own = self.table.me().card.address;
+            let address = word.card.address.filter(|address| Some(*address) != own);
+            self.claim = Some(Claim { process: word.life.process, address, at: now });
+        }
+    }
+
+    pub(super) fn ask_claimant(&mut self, mail: &mut Mail) {
+        if let Some(address) = self.claim.and_then(|claim| claim.address) {
+            self.send(To::Address(address), 0, Ask::Probe, Vec::new(), mail);
+        }
+    }
+
+    pub(super) fn end_claim(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
+        let Some(Claim { process, at, .. }) = self.claim.filter(|claim| now - claim.at >= CLAIM_FOR) else {
+            return;
+        };
+        self.claim = None;
+        self.table.rise_above(process);
+        let me = self.table.me().clone();
+        let why = format!(
+            "process {process} of ours is spoken of and silent since {:.1} s: we go above it",
+            now - at
+        );
+        changed.push(Changed {
+            about: me.about,
+            life: me.life,
+            standing: me.standing,
+            withdrawn: false,
+            why,
+        });
+        self.rumours.tell_first(me);
+    }
+}
--- /dev/null
+++ b/crates/railhub-membership/src/swim/probing.rs
@@ -0,0 +1,177 @@
+//! Probes and suspicions: who is asked next, what an answer or its lack is worth, when a suspicion ends.
+use super::*;
+
+/// Others that are asked to probe.
+const THROUGH: usize = 3;
+
+impl Members {
+    pub(super) fn send_probe(
+        &mut self,
+        now: Seconds,
+        to: StewardId,
+        behalf: Option<(StewardId, u64)>,
+        first: Vec<Entry>,
+        mail: &mut Mail,
+    ) {
+        self.number += 1;
+        let number = self.number;
+        self.send(To::Steward(to), number, Ask::Probe, first, mail);
+        let through = behalf.is_some();
+        self.out.push(Out { number, to, at: now, through, helpers: 0, helped: false, behalf });
+    }
+
+    /// A suspect is asked once more each time, and told what it is suspected of: on a net that loses messages its
+    /// own word must have more than one way back.
+    pub(super) fn warn_suspect(&mut self, now: Seconds, mail: &mut Mail) {
+        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
+        let suspects: Vec<Entry> = suspects.cloned().collect();
+        if let Some(word) = suspects.choose(&mut self.chance).cloned() {
+            self.send_probe(now, word.about, None, vec![word], mail);
+        }
+    }
+
+    /// Each other that lives in turn, in an order that is shuffled anew each time: a dead one is met within two
+    /// rounds.
+    pub(super) fn next_target(&mut self) -> Option<StewardId> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.living().collect();
+                self.order.shuffle(&mut self.chance);
+            }
+            let id = self.order.pop()?;
+            if self.standing(id).lives() {
+                return Some(id);
+            }
+        }
+    }
+
+    /// Two halves of a split find each other again only if those held for dead are asked now and then; ever less
+    /// often, since most of the dead are dead.
+    pub(super) fn ask_a_dead(&mut self, now: Seconds, mail: &mut Mail) {
+        if self.table.lacks(Defence::AskingTheDead) {
+            return;
+        }
+        let dead = self.table.others().filter(|entry| entry.standing == Standing::Dead);
+        let due = dead.filter_map(|entry| Some((self.peers.get(&entry.about)?.ask_at, entry.clone())));
+        let first = due.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.about.cmp(&b.1.about)));
+        let Some((_, word)) = first.filter(|(at, _)| *at <= now) else { return };
+        let part = 0.8 + 0.4 * self.chance.random::<f64>();
+        if let Some(peer) = self.peers.get_mut(&word.about) {
+            peer.ask_span = (peer.ask_span * 2.0).min(ASK_DEAD_MOST);
+            peer.ask_at = now + peer.ask_span * part;
+        }
+        self.send(To::Steward(word.about), 0, Ask::Probe, vec![word], mail);
+    }
+
+    pub(super) fn end_probes(&mut self, now: Seconds, mail: &mut Mail, changed: &mut Vec<Changed>) {
+        self.ask_through_others(now, mail);
+        let ends = PROBE_ENDS * self.patience();
+        let is_over = |out: &Out| now - out.at >= if out.behalf.is_some() { PROBE_ENDS / 2.0 } else { ends };
+        let over: Vec<Out> = self.out.iter().filter(|out| is_over(out)).cloned().collect();
+        self.out.retain(|out| !is_over(out));
+        for out in over {
+            if let Some((asker, number)) = out.behalf {
+                self.send(To::Steward(asker), number, Ask::NoAnswerOf(out.to), Vec::new(), mail);
+                continue;
+            }
+            if out.helpers > 0 && !out.helped {
+                self.health.heard_nothing();
+            }
+            if let Some(peer) = self.peers.get_mut(&out.to) {
+                peer.answers.judge(now, true);
+            }
+            self.suspect(now, out.to, out.helpers, changed);
+        }
+    }
+
+    pub(super) fn ask_through_others(&mut self, now: Seconds, mail: &mut Mail) {
+        let patience = self.patience();
+        let late_after = |id: &StewardId| {
+            let answers = self.peers.get(id).map(|peer| peer.answers).unwrap_or_default();
+            answers.late_after(PROBE_ENDS / 2.0) * patience
+        };
+        let late = self.out.iter().filter(|out| !out.through && now - out.at >= late_after(&out.to));
+        let late: Vec<(u64, StewardId)> = late.map(|out| (out.number, out.to)).collect();
+        for (number, to) in late {
+            let mut others: Vec<StewardId> =
+                self.living().filter(|id| *id != to && self.standing(*id) == Standing::Alive).collect();
+            others.shuffle(&mut self.chance);
+            others.truncate(THROUGH);
+            if let Some(out) = self.out.iter_mut().find(|out| out.number == number) {
+                (out.through, out.helpers) = (true, others.len());
+            }
+            for other in others {
+                self.send(To::Steward(other), number, Ask::ProbeFor(to), Vec::new(), mail);
+            }
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        now: Seconds,
+        from: StewardId,
+        number: u64,
+        mail: &mut Mail,
+        changed: &mut Vec<Changed>,
+    ) {
+        let Some(place) = self.out.iter().position(|out| out.number == number && out.to == from) else {
+            return;
+        };
+        let out = self.out.remove(place);
+        if let Some((asker, number)) = out.behalf {
+            self.send(To::Steward(asker), number, Ask::AnswerOf(from), Vec::new(), mail);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        let was_late = now - out.at > peer.answers.late_after(PROBE_ENDS / 2.0);
+        peer.answers.add(now, (now - out.at).min(PROBE_ENDS));
+        peer.answers.judge(now, was_late);
+        if !was_late {
+            self.health.did_well();
+        }
+        self.look_for_withdrawn(now, changed);
+    }
+
+    pub(super) fn suspect(
+        &mut self,
+        now: Seconds,
+        about: StewardId,
+        helpers: usize,
+        changed: &mut Vec<Changed>,
+    ) {
+        let Some(entry) = self.table.get(about).filter(|entry| entry.standing.lives()) else { return };
+        let word = Entry { standing: Standing::Suspect, by: Some(self.me()), ..entry.clone() };
+        let why = format!("it answered neither us nor {helpers} others that we asked to probe it");
+        self.take_in(now, &word, &why, changed);
+    }
+
+    /// How long a suspicion stands: the more that accuse independently, the shorter; the worse we fare ourselves,
+    /// the longer.
+    pub(super) fn suspected_for(&self, peer: &Peer) -> Seconds {
+        let alive = self.alive();
+        let base = SUSPECTED_FOR * (alive as f64).ln().max(1.0);
+        if self.table.lacks(Defence::OwnTrouble) {
+            return base;
+        }
+        let needed = ACCUSERS.min(alive.saturating_sub(2));
+        let more = peer.accusers.len().saturating_sub(1).min(needed);
+        let share = if needed == 0 { 0.5 } else { ((more + 1) as f64).ln() / ((needed + 1) as f64).ln() };
+        let longest = base * ALONE_LONGER;
+        (longest - (longest - base) * share) * self.patience()
+    }
+
+    pub(super) fn end_suspicions(&mut self, now: Seconds, changed: &mut Vec<Changed>) {
+        let suspects = self.table.others().filter(|entry| entry.standing == Standing::Suspect);
+        let over = suspects.filter(|entry| {
+            let peer = self.peers.get(&entry.about);
+            peer.is_some_and(|peer| now - peer.since >= self.suspected_for(peer))
+        });
+        for entry in over.cloned().collect::<Vec<_>>() {
+            let accusers = self.peers.get(&entry.about).map(|peer| peer.accusers.clone()).unwrap_or_default();
+            let accusers: Vec<String> = accusers.iter().map(|id| id.0.to_string()).collect();
+            let why = format!("suspected by {}, and it said nothing", accusers.join(", "));
+            let word = Entry { standing: Standing::Dead, by: Some(self.me()), ..entry };
+            self.take_in(now, &word, &why, changed);
+        }
+    }
+}
