--- a/crates/railhub-chaos/src/bed/mod.rs
+++ b/crates/railhub-chaos/src/bed/mod.rs
@@ -10,3 +10,4 @@
 mod process;
 
 pub use play::{play, scratch, Plan, Played};
+pub use process::Process;
--- a/crates/railhub-chaos/src/bed/process.rs
+++ b/crates/railhub-chaos/src/bed/process.rs
@@ -2,27 +2,29 @@
 //! itself is killed, by the kernel (a stopped process does not see its standard input end).
 use serde::Deserialize;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, Stdio};
-use std::sync::mpsc::{channel, RecvTimeoutError};
-use std::sync::Mutex;
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 /// How long a process may take to say where it listens, and to go when it is asked to.
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
 const GOES_WITHIN: Duration = Duration::from_secs(3);
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize)]
 struct Listening {
+    listening: SocketAddr,
     fleet: SocketAddr,
 }
 
 pub struct Process {
     child: Mutex<Option<Child>>,
-    /// Where it listens for other stewards.
+    /// Where it listens for proxies, and for other stewards.
+    pub listening: SocketAddr,
     pub fleet: SocketAddr,
 }
 
@@ -43,14 +45,14 @@
                 Ok(())
             });
         }
-        let mut child = command.spawn().map_err(|e| format!("{}: {e}", binary.display()))?;
+        let mut child = spawn(command).map_err(|e| format!("{}: {e}", binary.display()))?;
         let out = child.stdout.take();
-        let mut process =
-            Process { child: Mutex::new(Some(child)), fleet: SocketAddr::from(([127, 0, 0, 1], 0)) };
-        let fleet = out.ok_or_else(|| "no standard output".to_owned()).and_then(first_line);
-        match fleet {
-            Ok(fleet) => {
-                process.fleet = fleet;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut process = Process { child: Mutex::new(Some(child)), listening: nowhere, fleet: nowhere };
+        let told = out.ok_or_else(|| "no standard output".to_owned()).and_then(first_line);
+        match told {
+            Ok(told) => {
+                (process.listening, process.fleet) = (told.listening, told.fleet);
                 Ok(process)
             }
             Err(what) => Err(format!("a steward does not start: {what}; its log: {}", log.display())),
@@ -103,7 +105,26 @@
     }
 }
 
-fn first_line(out: ChildStdout) -> Result<SocketAddr, String> {
+/// The kernel ends a child when the *thread* that started it ends: so all are started by one that lasts.
+fn spawn(command: Command) -> io::Result<Child> {
+    type Wish = (Command, Sender<io::Result<Child>>);
+    static THREAD: OnceLock<Mutex<Sender<Wish>>> = OnceLock::new();
+    let wishes = THREAD.get_or_init(|| {
+        let (sender, receiver) = channel::<Wish>();
+        std::thread::spawn(move || {
+            for (mut command, answer) in receiver {
+                let _ = answer.send(command.spawn());
+            }
+        });
+        Mutex::new(sender)
+    });
+    let (sender, receiver) = channel();
+    let gone = || io::Error::other("the thread that starts processes is gone");
+    wishes.lock().expect("no holder panics").send((command, sender)).map_err(|_| gone())?;
+    receiver.recv().map_err(|_| gone())?
+}
+
+fn first_line(out: ChildStdout) -> Result<Listening, String> {
     let (sender, receiver) = channel();
     std::thread::spawn(move || {
         let mut line = String::new();
@@ -114,6 +135,5 @@
         RecvTimeoutError::Timeout => "it says nothing".to_owned(),
         RecvTimeoutError::Disconnected => "it ended".to_owned(),
     })?;
-    let listening: Listening = serde_json::from_str(&line).map_err(|e| format!("{line:?}: {e}"))?;
-    Ok(listening.fleet)
+    serde_json::from_str(&line).map_err(|e| format!("{line:?}: {e}"))
 }
--- a/crates/railhub-cli/tests/fleet.rs
+++ b/crates/railhub-cli/tests/fleet.rs
@@ -1,18 +1,22 @@
 //! Several stewards as processes, with faults between them: short cases through the real binary. A failing case prints its
 //! seed, what broke and where the logs are.
-use railhub_chaos::bed::{play, scratch, Plan};
+use railhub_chaos::bed::{play, scratch, Plan, Process};
 use railhub_chaos::view::judge::{judge, NO_LIFE_AFTER_DEATH, NO_SPLIT, RUMOURS_END, SETTLES};
 use railhub_chaos::view::sim::How;
 use railhub_chaos::view::Seen;
 use railhub_chaos::{Chaos, Fault, Judged, LinkFaults, What};
+use railhub_day::{Launch, Launched};
+use railhub_links::tcp::TcpLink;
+use railhub_links::{Board, Faults};
 use railhub_membership::packet::{encode, Packet, BYTES_MOST};
 use railhub_membership::table::Defence;
 use railhub_membership::StewardId;
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_railhub");
@@ -145,20 +149,15 @@
     breaks(9, Defence::RumourBound, &[], &[RUMOURS_END]);
 }
 
-/// A steward that ends with its test, also when that fails.
-struct Steward {
-    child: Child,
-    fleet: SocketAddr,
-}
-
-impl Drop for Steward {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// A folder of its own for each test; gone when the test has passed.
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder = std::env::temp_dir().join(format!("railhub-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("writable");
+    folder
 }
 
-fn steward(folder: &Path, id: u16, join: Option<SocketAddr>) -> (Steward, String) {
+/// A steward that ends with its test, also when that fails; and its file of settings.
+fn steward(folder: &Path, id: u16, join: Option<SocketAddr>) -> (Process, String) {
     let join = join.map_or(String::new(), |address| format!("join = {address}\n"));
     let text = format!(
         "[steward]\nlisten = 127.0.0.1:0\nroster = 127.0.0.1:1\n\n[class any]\ncontract_time = 1\n\n\
@@ -166,18 +165,27 @@
     );
     let conf = folder.join(format!("{id}.ini"));
     std::fs::write(&conf, text).expect("writable");
-    let conf = conf.to_str().expect("plain").to_owned();
-    let mut child = Command::new(BINARY)
-        .args(["steward", "--until-stdin-ends", "--log", "off", "--conf", &conf])
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("it starts");
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("it says something");
-    let told: Value = serde_json::from_str(&line).expect("one JSON object");
-    let fleet = told["fleet"].as_str().expect("an address").parse().expect("an address");
-    (Steward { child, fleet }, conf)
+    let process = Process::start(Path::new(BINARY), &conf, &conf.with_extension("log"));
+    (process.unwrap_or_else(|what| panic!("{what}")), conf.to_str().expect("plain").to_owned())
+}
+
+/// Sends so many spoilt, foreign, older, cut and too long datagrams.
+fn damage(to: SocketAddr, installation: &str, count: usize) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let look = encode(installation, &Packet::Look { nonce: 1, from: StewardId(0) });
+    let foreign = encode("other", &Packet::Look { nonce: 1, from: StewardId(0) });
+    let mut older = look.clone();
+    older[3] = 0;
+    let mut spoilt = look.clone();
+    spoilt[10] ^= 4;
+    let long = vec![1; BYTES_MOST + 100];
+    let kinds: [&[u8]; 5] = [&foreign, &older, &spoilt, &long, &look[..7]];
+    for number in 0..count {
+        let _ = socket.send_to(kinds[number % kinds.len()], to);
+        if number % 64 == 0 {
+            std::thread::sleep(Duration::from_micros(300));
+        }
+    }
 }
 
 /// Looks until a view is as wanted, or the deadline has passed.
@@ -200,8 +208,7 @@
 
 #[test]
 fn an_observer_sees_a_join_and_a_leave_in_order_and_is_never_counted() {
-    let folder = std::env::temp_dir().join(format!("railhub-observer-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("writable");
+    let folder = folder("observer");
     let (one, conf) = steward(&folder, 1, None);
     let (two, _) = steward(&folder, 2, Some(one.fleet));
     let lines = |told: &Value| told["views"][0]["lines"].as_array().map_or(0, Vec::len);
@@ -209,8 +216,7 @@
     let told = look_until(&conf, one.fleet, "two that know each other", both);
     assert_eq!(lines(&told), 2, "{told}");
     assert_eq!(told["views"][0]["lines"][0]["settings"], told["views"][0]["lines"][1]["settings"]);
-    // SAFETY: the child has not been waited for, so its id is its own.
-    unsafe { libc::kill(two.child.id() as i32, libc::SIGTERM) };
+    two.leave();
     let left = |told: &Value| told["views"][0]["lines"][1]["standing"] == "left";
     look_until(&conf, one.fleet, "one that left", left);
     let _ = std::fs::remove_dir_all(folder);
@@ -219,17 +225,16 @@
 /// Words that come without end must not hold up a steward's own turns.
 #[test]
 fn a_steward_that_is_flooded_still_finds_a_death() {
-    let folder = std::env::temp_dir().join(format!("railhub-flooded-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("writable");
+    let folder = folder("flooded");
     let (one, conf) = steward(&folder, 1, None);
     let (two, _) = steward(&folder, 2, Some(one.fleet));
     let both = |told: &Value| told["agree"] == true && told["views"].as_array().map_or(0, Vec::len) == 2;
     look_until(&conf, one.fleet, "two that know each other", both);
-    let (ended, to) = (std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)), one.fleet);
+    let (ended, to) = (Arc::new(AtomicBool::new(false)), one.fleet);
     let stop = ended.clone();
     let flood = std::thread::spawn(move || {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
-        while !stop.load(std::sync::atomic::Ordering::Acquire) {
+        while !stop.load(Ordering::Acquire) {
             (0..16).for_each(|_| _ = socket.send_to(b"noise", to));
             std::thread::sleep(Duration::from_millis(1));
         }
@@ -237,35 +242,92 @@
     drop(two);
     let dead = |told: &Value| told["views"][0]["lines"][1]["standing"] == "dead";
     look_until(&conf, one.fleet, "one that died", dead);
-    ended.store(true, std::sync::atomic::Ordering::Release);
+    ended.store(true, Ordering::Release);
     flood.join().expect("it ends");
     let _ = std::fs::remove_dir_all(folder);
 }
 
-/// What is spoilt, foreign, older or too long is dropped, and the steward answers on.
+/// What is spoilt, foreign, older or too long is dropped, and the stewards go on knowing each other.
 #[test]
 fn a_hundred_thousand_damaged_datagrams_are_dropped_and_counted_and_answers_go_on() {
-    let folder = std::env::temp_dir().join(format!("railhub-damaged-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("writable");
+    let folder = folder("damaged");
     let (one, conf) = steward(&folder, 1, None);
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    let look = encode("hand", &Packet::Look { nonce: 1, from: StewardId(0) });
-    let foreign = encode("other", &Packet::Look { nonce: 1, from: StewardId(0) });
-    let mut older = look.clone();
-    older[3] = 0;
-    let mut spoilt = look.clone();
-    spoilt[10] ^= 4;
-    let long = vec![1; BYTES_MOST + 100];
-    let kinds: [&[u8]; 5] = [&foreign, &older, &spoilt, &long, &look[..7]];
-    for number in 0..100_000 {
-        let _ = socket.send_to(kinds[number % kinds.len()], one.fleet);
-        if number % 64 == 0 {
-            std::thread::sleep(Duration::from_micros(300));
-        }
-    }
-    let told = look_until(&conf, one.fleet, "an answer", |told| told["views"][0]["dropped"].is_u64());
+    let (_two, _) = steward(&folder, 2, Some(one.fleet));
+    let both = |told: &Value| told["agree"] == true && told["views"].as_array().map_or(0, Vec::len) == 2;
+    look_until(&conf, one.fleet, "two that know each other", both);
+    damage(one.fleet, "hand", 100_000);
+    let told = look_until(&conf, one.fleet, "two that know each other after the noise", both);
     // What the socket's own queue could not hold never came to the steward.
     assert!(told["views"][0]["dropped"].as_u64() > Some(10_000), "{told}");
-    assert_eq!(told["views"][0]["lines"].as_array().map_or(0, Vec::len), 1);
+    let lines = told["views"][0]["lines"].as_array().expect("lines");
+    assert!(lines.iter().all(|line| line["standing"] == "alive"), "{told}");
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// A whole short day (hosts, list, store, proxies, clients; a crash, a deploy, the steward killed) with the steward in a
+/// fleet of three, every connection of it through a relay, while 100,000 damaged datagrams come, the list falls silent with
+/// its connection left open, and all proxies' streams are reset. The five rules are judged from what crossed the sockets.
+#[test]
+fn service_goes_on_while_a_fleet_is_flooded_its_list_is_silent_and_streams_are_reset() {
+    railhub_net::start();
+    let folder = folder("service");
+    let (peer, conf) = steward(&folder, 2, None);
+    let (_other, _) = steward(&folder, 3, Some(peer.fleet));
+    let board = Arc::new(Board::new(10, None));
+    let bed = Arc::new(Mutex::new(Vec::<Arc<TcpLink>>::new()));
+    let (links, at, home) = (bed.clone(), peer.fleet, folder.clone());
+    let count = AtomicUsize::new(0);
+    let launch: Launch = Arc::new(move |settings| {
+        let number = count.fetch_add(1, Ordering::Relaxed);
+        let mut text = settings.to_owned();
+        for key in ["roster", "store"] {
+            let line = text.lines().find(|line| line.starts_with(key)).ok_or("no such key")?.to_owned();
+            let real = line.split('=').nth(1).and_then(|text| text.trim().parse().ok());
+            let link = TcpLink::open(board.clone(), "1", key, real).map_err(|e| e.to_string())?;
+            text = text.replace(&line, &format!("{key} = {}", link.address));
+            links.lock().expect("whole").push(Arc::new(link));
+        }
+        text += &format!("\n[fleet]\nid = 1\ninstallation = hand\njoin = {at}\n");
+        let conf = home.join(format!("day-{number}.ini"));
+        std::fs::write(&conf, text).map_err(|e| e.to_string())?;
+        let process = Process::start(Path::new(BINARY), &conf, &conf.with_extension("log"))?;
+        let door = TcpLink::open(board.clone(), "proxies", "1", Some(process.listening));
+        let door = Arc::new(door.map_err(|e| e.to_string())?);
+        let (address, fleet) = (door.address, process.fleet);
+        links.lock().expect("whole").push(door.clone());
+        let board = board.clone();
+        // The first process alone is troubled; the day itself kills it.
+        let troubles = (number == 0).then(|| {
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_secs(3));
+                board.set_both("1", "roster", Faults { cut: true, ..Faults::default() });
+                let reset = door.reset();
+                damage(fleet, "hand", 100_000);
+                board.set_both("1", "roster", Faults::default());
+                assert!(reset > 0, "there were streams to reset");
+            })
+        });
+        let kill = Box::new(move || {
+            process.kill();
+            troubles.into_iter().for_each(|thread| thread.join().expect("the troubles were caused"));
+        });
+        Ok(Launched { address, kill })
+    });
+    let day = format!("{}/../../days/short.ini", env!("CARGO_MANIFEST_DIR"));
+    let day = railhub_day::Day::open(Path::new(&day)).expect("a good day");
+    let played = railhub_day::play(&day, Some(launch), None, None, &|_| {}).expect("it plays");
+    let rules = railhub_rules::judge(&played.events).expect("a record");
+    let limits = railhub_rules::limits(&played.events).expect("limits");
+    let served = railhub_day::report::service(&played.events, limits);
+    assert!(
+        rules.iter().all(|verdict| verdict.kept),
+        "seed {}: {rules:#?}, logs: {}",
+        day.seed,
+        folder.display()
+    );
+    assert!(served.whole > 0.8, "seed {}: {served:?}, logs: {}", day.seed, folder.display());
+    // The steward of the day was ended outright: the two that are left know.
+    let dead = |told: &Value| told["agree"] == true && told["views"][0]["lines"][0]["standing"] == "dead";
+    look_until(&conf, peer.fleet, "the day's steward is gone", dead);
     let _ = std::fs::remove_dir_all(folder);
 }
