--- a/crates/railhub-membership/src/rumours.rs
+++ b/crates/railhub-membership/src/rumours.rs
@@ -27,12 +27,17 @@
         self.waiting.retain(|(known, _)| known.about != about);
     }
 
-    /// The next few, least passed on first. `endless`: they are never worn out.
-    pub fn take(&mut self, most: usize, stewards: usize, endless: bool) -> Vec<Entry> {
+    /// The next few, least passed on first, without those that the message tells anyway. `endless`: they are never worn
+    /// out.
+    pub fn take(&mut self, most: usize, told: &[Entry], stewards: usize, endless: bool) -> Vec<Entry> {
         let limit = (PASSED_ON * (stewards as f64).ln().max(1.0)).ceil() as u32;
         let mut news = Vec::new();
         for _ in 0..self.waiting.len().min(most) {
             if let Some((entry, passed)) = self.waiting.pop_front() {
+                if told.iter().any(|known| known.about == entry.about) {
+                    self.waiting.push_back((entry, passed));
+                    continue;
+                }
                 news.push(entry.clone());
                 if passed + 1 < limit || endless {
                     self.waiting.push_back((entry, passed + 1));
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -45,11 +45,12 @@
 /// Seconds between two comparisons that we begin.
 const COMPARE_EVERY: Seconds = 0.3;
 /// Seconds between two looks for someone to join while nobody is known to live: at first, then half as much more each
-/// time up to the most; and between two looks at an address of the file while others live, so that two halves that
-/// have forgotten each other still meet.
+/// time up to the most; and between two looks at an address of the file while others live, doubled each time: so that
+/// a newcomer meets those whom the one it joined by cannot reach, and halves that have forgotten each other meet at all.
 const SEEK: Seconds = 0.3;
 const SEEK_MOST: Seconds = 3.0;
-const SEEK_SLOWLY: Seconds = 60.0;
+const SEEK_SLOWLY: Seconds = 5.0;
+const SEEK_SLOWEST: Seconds = 60.0;
 
 /// What the file says of membership.
 #[derive(Clone, Debug)]
@@ -110,12 +111,23 @@
     number: u64,
     to: StewardId,
     at: Seconds,
-    through: bool,
+    /// How often others were asked to probe it too.
+    through: u8,
     /// Helpers that were asked, and whether one had a word.
     helpers: usize,
     helped: bool,
-    /// On whose behalf, with their number.
-    behalf: Option<(StewardId, u64)>,
+    /// On whose behalf, if it is not on ours.
+    behalf: Option<Behalf>,
+}
+
+/// One that asked us to probe another.
+#[derive(Clone, Copy, Debug)]
+struct Behalf {
+    asker: StewardId,
+    /// The asker's number for it.
+    number: u64,
+    /// The asker said that it doubts the other: it wants to hear what that one says of itself.
+    doubts: bool,
 }
 
 /// A process of our name that was spoken of.
@@ -156,6 +168,7 @@
     compare_from: StewardId,
     seek_at: Seconds,
     seek_span: Seconds,
+    slow_span: Seconds,
     /// A process of our name with a higher number that was spoken of, where it is reached, and since when.
     claim: Option<Claim>,
     yielded: bool,
@@ -187,6 +200,7 @@
             compare_from: StewardId(0),
             seek_at: now,
             seek_span: SEEK,
+            slow_span: SEEK_SLOWLY,
             claim: None,
             yielded: false,
             refused: 0,
@@ -297,7 +311,12 @@
 
     /// When [`Members::tick`] wants to be called next.
     pub fn next_at(&self) -> Seconds {
-        let ends = self.out.iter().map(|out| out.at + if out.through { PROBE_ENDS } else { LATE_LEAST });
+        let next = |out: &Out| match out.through {
+            0 => LATE_LEAST,
+            1 => PROBE_ENDS / 2.0,
+            _ => PROBE_ENDS,
+        };
+        let ends = self.out.iter().map(|out| out.at + next(out));
         ends.fold(self.probes_at, f64::min).min(self.ticked_at + PERIOD).max(self.ticked_at + 0.01)
     }
 
@@ -314,7 +333,8 @@
         // A comparison fills its datagram by itself.
         let room = if matches!(ask, Ask::Compare { .. }) { 0 } else { NEWS_MOST.saturating_sub(first.len()) };
         let mut news = first;
-        news.extend(self.rumours.take(room, self.peers.len() + 1, endless));
+        let more = self.rumours.take(room, &news, self.peers.len() + 1, endless);
+        news.extend(more);
         self.turn += 1;
         Message {
             from: self.table.me().clone(),
@@ -351,7 +371,7 @@
         }
         let soon = now + PERIOD;
         (self.ticked_at, self.probes_at) = (now, self.probes_at.min(soon));
-        (self.compare_at, self.seek_at) = (self.compare_at.min(soon), self.seek_at.min(now + SEEK_SLOWLY));
+        (self.compare_at, self.seek_at) = (self.compare_at.min(soon), self.seek_at.min(now + SEEK_SLOWEST));
         self.claim = self.claim.map(|claim| Claim { at: claim.at.min(now), ..claim });
     }
 
@@ -470,7 +490,12 @@
                 self.send(To::Steward(from), message.number, Ask::Answer, first, mail);
             }
             Ask::ProbeFor(target) if self.peers.contains_key(target) && self.out.len() < OUT_MOST => {
-                self.send_probe(now, *target, Some((from, message.number)), Vec::new(), mail);
+                // A suspect is told, so that its own word comes back by us: it may have no other way.
+                let word = self.table.get(*target).filter(|entry| entry.standing == Standing::Suspect);
+                let first = word.cloned().into_iter().collect();
+                let doubts = message.news.iter().any(|word| word.about == *target);
+                let behalf = Behalf { asker: from, number: message.number, doubts };
+                self.send_probe(now, *target, Some(behalf), first, mail);
             }
             Ask::ProbeFor(_) | Ask::Tell => {}
             Ask::Answer => self.answered(now, from, message.number, mail, changed),
@@ -529,7 +554,7 @@
             }
             Learnt::Rival => self.claimed(now, word),
             Learnt::Full => self.refused += 1,
-            Learnt::Nothing => self.count_accuser(word),
+            Learnt::Nothing => self.answer_to_stale(word),
             Learnt::Old => {}
         }
         learnt
@@ -566,6 +591,18 @@
         self.rumours.tell(held);
     }
 
+    /// Whoever tells that someone is missing may not have heard what that one has said since: it is told again. A word
+    /// that is not out of date may be one more accuser's.
+    fn answer_to_stale(&mut self, word: &Entry) {
+        let stale = |held: &&Entry| {
+            held.life > word.life && held.standing == Standing::Alive && word.standing != Standing::Alive
+        };
+        match self.table.get(word.about).filter(stale).cloned() {
+            Some(held) => self.rumours.tell_first(held),
+            None => self.count_accuser(word),
+        }
+    }
+
     /// One more that finds a suspect missing makes the suspicion shorter; it is passed on, a few times at the most.
     fn count_accuser(&mut self, word: &Entry) {
         let Some(held) = self.table.get(word.about) else { return };
--- a/crates/railhub-membership/src/swim/joining.rs
+++ b/crates/railhub-membership/src/swim/joining.rs
@@ -7,6 +7,10 @@
 impl Members {
     /// While nobody is known to live, each address of the file is asked; else one of them now and then.
     pub(super) fn seek(&mut self, now: Seconds, mail: &mut Mail) {
+        // One that has just been left alone does not wait for the slow look that was due while others lived.
+        if self.alive() == 1 {
+            self.seek_at = self.seek_at.min(now + self.seek_span);
+        }
         if now < self.seek_at || self.manners.seeds.is_empty() {
             return;
         }
@@ -17,10 +21,11 @@
         let mut seeds: Vec<SocketAddr> = self.manners.seeds.iter().copied().filter(strange).collect();
         if self.alive() > 1 {
             seeds = seeds.choose(&mut self.chance).copied().into_iter().collect();
-            (self.seek_at, self.seek_span) = (now + SEEK_SLOWLY * part, SEEK);
+            (self.seek_at, self.seek_span) = (now + self.slow_span * part, SEEK);
+            self.slow_span = (self.slow_span * 2.0).min(SEEK_SLOWEST);
         } else {
             self.seek_at = now + self.seek_span * part;
-            self.seek_span = (self.seek_span * 1.5).min(SEEK_MOST);
+            (self.seek_span, self.slow_span) = ((self.seek_span * 1.5).min(SEEK_MOST), SEEK_SLOWLY);
         }
         for seed in seeds {
             self.send(To::Address(seed), 0, Ask::Probe, Vec::new(), mail);
--- a/crates/railhub-membership/src/swim/probing.rs
+++ b/crates/railhub-membership/src/swim/probing.rs
@@ -3,20 +3,24 @@
 
 /// Others that are asked to probe.
 const THROUGH: usize = 3;
+/// Times that others are asked at the most; the second time it is asked directly again too. Where there is only one way to
+/// it, one lost message in four must not be a suspicion.
+const THROUGH_TIMES: u8 = 2;
 
 impl Members {
     pub(super) fn send_probe(
         &mut self,
         now: Seconds,
         to: StewardId,
-        behalf: Option<(StewardId, u64)>,
+        behalf: Option<Behalf>,
         first: Vec<Entry>,
         mail: &mut Mail,
     ) {
         self.number += 1;
         let number = self.number;
         self.send(To::Steward(to), number, Ask::Probe, first, mail);
-        let through = behalf.is_some();
+        // Nobody else is asked for one that we probe for another.
+        let through = if behalf.is_some() { THROUGH_TIMES } else { 0 };
         self.out.push(Out { number, to, at: now, through, helpers: 0, helped: false, behalf });
     }
 
@@ -70,7 +74,7 @@
         let over: Vec<Out> = self.out.iter().filter(|out| is_over(out)).cloned().collect();
         self.out.retain(|out| !is_over(out));
         for out in over {
-            if let Some((asker, number)) = out.behalf {
+            if let Some(Behalf { asker, number, .. }) = out.behalf {
                 self.send(To::Steward(asker), number, Ask::NoAnswerOf(out.to), Vec::new(), mail);
                 continue;
             }
@@ -90,18 +94,31 @@
             let answers = self.peers.get(id).map(|peer| peer.answers).unwrap_or_default();
             answers.late_after(PROBE_ENDS / 2.0) * patience
         };
-        let late = self.out.iter().filter(|out| !out.through && now - out.at >= late_after(&out.to));
+        let again_after = PROBE_ENDS / 2.0 * patience;
+        let late = self.out.iter().filter(|out| match out.through {
+            0 => now - out.at >= late_after(&out.to),
+            1 => !out.helped && now - out.at >= again_after,
+            _ => false,
+        });
         let late: Vec<(u64, StewardId)> = late.map(|out| (out.number, out.to)).collect();
         for (number, to) in late {
             let mut others: Vec<StewardId> =
                 self.living().filter(|id| *id != to && self.standing(*id) == Standing::Alive).collect();
             others.shuffle(&mut self.chance);
             others.truncate(THROUGH);
+            let mut again = false;
             if let Some(out) = self.out.iter_mut().find(|out| out.number == number) {
-                (out.through, out.helpers) = (true, others.len());
+                again = out.through > 0;
+                (out.through, out.helpers) = (out.through + 1, others.len());
+            }
+            let word = self.table.get(to).filter(|entry| entry.standing == Standing::Suspect).cloned();
+            if again {
+                // It may be the only one that we reach: one lost message must not be a suspicion there either.
+                self.send(To::Steward(to), number, Ask::Probe, word.iter().cloned().collect(), mail);
             }
             for other in others {
-                self.send(To::Steward(other), number, Ask::ProbeFor(to), Vec::new(), mail);
+                let first = word.iter().cloned().collect();
+                self.send(To::Steward(other), number, Ask::ProbeFor(to), first, mail);
             }
         }
     }
@@ -118,8 +135,10 @@
             return;
         };
         let out = self.out.remove(place);
-        if let Some((asker, number)) = out.behalf {
-            self.send(To::Steward(asker), number, Ask::AnswerOf(from), Vec::new(), mail);
+        if let Some(Behalf { asker, number, doubts }) = out.behalf {
+            // With what it says of itself: it may have refuted what the asker holds of it.
+            let first = self.table.get(from).filter(|_| doubts).cloned().into_iter().collect();
+            self.send(To::Steward(asker), number, Ask::AnswerOf(from), first, mail);
             return;
         }
         let Some(peer) = self.peers.get_mut(&from) else { return };
