--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -196,6 +196,7 @@
         let Some(node) = self.current.remove(&steward) else { return };
         let Some(running) = self.nodes.remove(&node) else { return };
         self.asked.lock().expect("no holder panics").remove(&node);
+        self.see_cost(node, &running.process);
         act(&running.process);
         self.see(Seen::Down { at: self.at(), node, steward });
         if self.nodes.values().all(|other| other.end != running.end) {
@@ -203,6 +204,12 @@
         }
     }
 
+    fn see_cost(&self, node: Node, process: &Process) {
+        if let Some(processor) = process.processor() {
+            self.see(Seen::Cost { at: self.at(), node, processor });
+        }
+    }
+
     fn current(&self, steward: u16) -> Option<&Running> {
         self.nodes.get(self.current.get(&steward)?)
     }
@@ -386,6 +393,7 @@
         self.starving.values().for_each(|ends| ends.store(true, Ordering::Release));
         self.board.finish();
         let at = self.at();
+        self.nodes.iter().for_each(|(node, running)| self.see_cost(*node, &running.process));
         self.nodes.values().for_each(|running| running.process.kill());
         let mut events = std::mem::take(&mut *self.events.lock().expect("no holder panics"));
         let heard = self.heard.lock().expect("no holder panics");
--- a/crates/railhub-chaos/src/bed/process.rs
+++ b/crates/railhub-chaos/src/bed/process.rs
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Seconds of processor time that it has taken, while it can be asked.
+    pub fn processor(&self) -> Option<f64> {
+        let held = self.child.lock().expect("no holder panics");
+        let told = std::fs::read_to_string(format!("/proc/{}/stat", held.as_ref()?.id())).ok()?;
+        // The name stands in brackets and may hold anything; user and system time are the 12th and 13th after it.
+        let fields: Vec<&str> = told.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        // SAFETY: asks for a number.
+        let a_second = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
+        Some(ticks / a_second.max(1) as f64)
+    }
+
     pub fn stop(&self) {
         self.signal(libc::SIGSTOP);
     }
--- a/crates/railhub-chaos/src/view/judge.rs
+++ b/crates/railhub-chaos/src/view/judge.rs
@@ -41,6 +41,8 @@
     /// A steward and second.
     pub datagrams: f64,
     pub bytes: f64,
+    /// Share of a core a steward, where processes were real.
+    pub processor: Option<f64>,
     pub polls: usize,
 }
 
@@ -278,12 +280,18 @@
         })
         .unwrap_or((0.0, 0.0, 1.0));
     let lived: f64 = run.up.values().map(|(_, since, end)| end.min(until) - since).sum();
+    let cost = |event: &Seen| match event {
+        Seen::Cost { processor, .. } => Some(*processor),
+        _ => None,
+    };
+    let costs: Vec<f64> = events.iter().filter_map(cost).collect();
     ViewFigures {
         settled: (last_wrong < run.end - 0.3).then_some(last_wrong - last),
         known: known(&run),
         slanders: slanders(&run).count() as u64,
         datagrams: datagrams / lived.max(1.0),
         bytes: bytes / lived.max(1.0),
+        processor: (!costs.is_empty()).then(|| costs.iter().sum::<f64>() / lived.max(1.0)),
         polls: run.polls.len(),
     }
 }
--- a/crates/railhub-chaos/src/view/mod.rs
+++ b/crates/railhub-chaos/src/view/mod.rs
@@ -60,6 +60,12 @@
         at: f64,
         seconds: BTreeSet<u32>,
     },
+    /// Seconds of processor time that a process took from its start to its end, or to the end of the run.
+    Cost {
+        at: f64,
+        node: Node,
+        processor: f64,
+    },
     /// What all stewards sent in the whole run, the longest datagram, and the share that is always lost.
     Sent {
         at: f64,
@@ -79,6 +85,7 @@
             | Seen::View { at, .. }
             | Seen::Dead { at, .. }
             | Seen::News { at, .. }
+            | Seen::Cost { at, .. }
             | Seen::Sent { at, .. } => *at,
         }
     }
@@ -91,6 +98,25 @@
     length.max(last + 2.0 + SETTLES_WITHIN + WATCHED)
 }
 
+/// The faults of a run at the times at which they were seen to begin and to end. One that is never seen to end has
+/// the length that it was given.
+pub fn measured(events: &[Seen], planned: &[Fault]) -> Vec<Fault> {
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut over: Vec<bool> = Vec::new();
+    for event in events {
+        let Seen::Fault { at, on, fault } = event else { continue };
+        if *on {
+            let long = planned.iter().find(|known| known.what == *fault).map_or(0.0, |known| known.long);
+            faults.push(Fault { at: *at, long, what: fault.clone() });
+            over.push(false);
+        } else if let Some(place) = (0..faults.len()).find(|n| !over[*n] && faults[*n].what == *fault) {
+            faults[place].long = at - faults[place].at;
+            over[place] = true;
+        }
+    }
+    faults
+}
+
 /// Whether a fault may make someone be held for dead who lives.
 pub fn disturbs(what: &What) -> bool {
     match what {
--- a/crates/railhub-cli/src/chaos_view.rs
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -7,7 +7,7 @@
 use railhub_chaos::shrink::fewest;
 use railhub_chaos::view::judge::{figures, judge, ViewFigures};
 use railhub_chaos::view::sim::{run as simulate, How, JOIN_BY};
-use railhub_chaos::view::Seen;
+use railhub_chaos::view::{measured, Seen};
 use railhub_chaos::{Chaos, Fault};
 use serde::Serialize;
 use std::path::PathBuf;
@@ -47,6 +47,8 @@
     /// A steward and second.
     datagrams: f64,
     bytes: f64,
+    /// Share of a core a steward, on real processes.
+    processor: Option<f64>,
 }
 
 pub fn run(chaos: &Chaos, arguments: &ChaosArguments) -> Result<(), Ending> {
@@ -107,7 +109,9 @@
     }
     let failed = (!breaches.is_empty()).then(|| {
         let rule = breaches[0].rule;
-        let simulated = shrink(chaos, seed, &faults, how, rule);
+        // What was played on real processes is played again at the times at which it came.
+        let played = if arguments.loopback { measured(&events, &faults) } else { faults.clone() };
+        let simulated = shrink(chaos, seed, &played, how, rule);
         Failed { seed, breaches, faults, folder: folder.clone(), simulated }
     });
     if let Some(folder) = folder.filter(|_| arguments.keep.is_none() && failed.is_none()) {
@@ -163,6 +167,9 @@
         slanders_an_hour: slanders as f64 / hours.max(1e-9),
         datagrams: runs.iter().map(|run| run.figures.datagrams).sum::<f64>() / count,
         bytes: runs.iter().map(|run| run.figures.bytes).sum::<f64>() / count,
+        processor: arguments
+            .loopback
+            .then(|| runs.iter().filter_map(|run| run.figures.processor).sum::<f64>() / count),
     }
 }
 
@@ -183,6 +190,9 @@
         "{:.1} words of death about the living an hour; {:.1} datagrams and {:.0} bytes a steward and second\n",
         told.slanders_an_hour, told.datagrams, told.bytes
     );
+    if let Some(processor) = told.processor {
+        out += &format!("{:.2} % of a core a steward\n", processor * 100.0);
+    }
     out += &format!("{} of {} runs broke a rule\n", told.failed, told.runs);
     let Some(first) = &told.first else { return out };
     out += &format!("seed {}:\n", first.seed);
