--- a/crates/railhub-chaos/src/bed/mod.rs
+++ b/crates/railhub-chaos/src/bed/mod.rs
@@ -9,5 +9,7 @@
 mod play;
 mod process;
 
+pub mod shared;
+
 pub use play::{play, scratch, Plan, Played};
-pub use process::Process;
+pub use process::{Log, Process};
--- a/crates/railhub-chaos/src/bed/play.rs
+++ b/crates/railhub-chaos/src/bed/play.rs
@@ -421,6 +421,7 @@
         Some(Defence::RumourBound) => "without = rumour bound\n",
         Some(Defence::OwnTrouble) => "without = own trouble\n",
         Some(Defence::Additions) => "without = additions\n",
+        Some(Defence::LeaseEnd) => "without = lease end\n",
     }
 }
 
--- a/crates/railhub-chaos/src/bed/process.rs
+++ b/crates/railhub-chaos/src/bed/process.rs
@@ -18,14 +18,24 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 struct Listening {
     listening: SocketAddr,
-    fleet: SocketAddr,
+    fleet: Option<SocketAddr>,
+    process: Option<u64>,
 }
 
 pub struct Process {
     child: Mutex<Option<Child>>,
-    /// Where it listens for proxies, and for other stewards.
+    /// Where it listens for proxies, and for other stewards; port 0: it is in no fleet.
     pub listening: SocketAddr,
     pub fleet: SocketAddr,
+    /// Its number in the fleet.
+    pub number: Option<u64>,
+}
+
+/// Where a process's log goes, how it is written, and from which level on.
+pub struct Log {
+    pub to: Stdio,
+    pub form: &'static str,
+    pub level: String,
 }
 
 impl Process {
@@ -35,9 +45,18 @@
     /// What went wrong, with the log's path.
     pub fn start(binary: &Path, conf: &Path, log: &Path) -> Result<Process, String> {
         let told = File::create(log).map_err(|e| format!("{}: {e}", log.display()))?;
+        let kept = Log { to: told.into(), form: "text", level: "info".into() };
+        Process::start_with(binary, conf, kept).map_err(|what| format!("{what}; its log: {}", log.display()))
+    }
+
+    /// The same with a log of any kind.
+    ///
+    /// # Errors
+    /// What went wrong.
+    pub fn start_with(binary: &Path, conf: &Path, log: Log) -> Result<Process, String> {
         let mut command = Command::new(binary);
-        command.args(["steward", "--until-stdin-ends", "--log", "text", "--conf"]).arg(conf);
-        command.env("RAILHUB_LOG", "info").stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(told);
+        command.args(["steward", "--until-stdin-ends", "--log", log.form, "--conf"]).arg(conf);
+        command.env("RAILHUB_LOG", log.level).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log.to);
         // SAFETY: prctl is safe to call between fork and exec, and touches nothing of ours.
         unsafe {
             command.pre_exec(|| {
@@ -48,14 +67,16 @@
         let mut child = spawn(command).map_err(|e| format!("{}: {e}", binary.display()))?;
         let out = child.stdout.take();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut process = Process { child: Mutex::new(Some(child)), listening: nowhere, fleet: nowhere };
+        let mut process =
+            Process { child: Mutex::new(Some(child)), listening: nowhere, fleet: nowhere, number: None };
         let told = out.ok_or_else(|| "no standard output".to_owned()).and_then(first_line);
         match told {
             Ok(told) => {
-                (process.listening, process.fleet) = (told.listening, told.fleet);
+                (process.listening, process.fleet) = (told.listening, told.fleet.unwrap_or(nowhere));
+                process.number = told.process;
                 Ok(process)
             }
-            Err(what) => Err(format!("a steward does not start: {what}; its log: {}", log.display())),
+            Err(what) => Err(format!("a steward does not start: {what}")),
         }
     }
 
--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -43,6 +43,10 @@
     StoreSlow {
         by: f64,
     },
+    /// The store starts again from a copy of its state that is so many seconds old.
+    StoreForgets {
+        by: f64,
+    },
     /// This steward's clock runs so much faster, or slower below 0.
     Drift {
         steward: u16,
@@ -278,13 +282,14 @@
         let steward = chance.random_range(0..self.stewards);
         let other = chance.random_range(0..self.stewards);
         let part = chance.random::<f64>() * 2.0 - 1.0;
-        let (long, what) = match chance.random_range(0..12u32) {
+        let (long, what) = match chance.random_range(0..13u32) {
             0 | 1 => (usual, What::Kill { steward }),
             2 | 3 => (PAUSES[chance.random_range(0..PAUSES.len())], What::Pause { steward }),
             4 => (usual, What::Cut { from: steward, to: other }),
             5 => (usual, What::Split { side: chance.random_range(1..(1u32 << self.stewards).max(2)) }),
             6 => (usual, What::StoreAway),
             7 => (usual, What::StoreSlow { by: 0.1 + 0.7 * part.abs() }),
+            12 => (0.0, What::StoreForgets { by: 10.0 * part.abs() }),
             8 => (self.length, What::Drift { steward, by: DRIFT * part }),
             9 => (0.0, What::Jump { steward, by: JUMP * part }),
             10 => (usual, What::SlowOrders { steward, by: 3.0 * part.abs() }),
--- a/crates/railhub-chaos/src/world.rs
+++ b/crates/railhub-chaos/src/world.rs
@@ -2,14 +2,15 @@
 //! their time.
 use crate::agenda::Agenda;
 use crate::faults::{Chaos, Fault, What};
-use railhub_membership::lease::{Fence, Holding};
+use railhub_membership::grants::{Broken, Grants};
+use railhub_membership::lease::Fence;
 use railhub_membership::office::{Acts, Office, Seat, StoreAsk, StoreSays};
 use railhub_membership::swim::Manners;
 use railhub_membership::words::{Message, To};
 use railhub_membership::{Epoch, StewardId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Seconds a message takes, least and most.
 const WAY: (f64, f64) = (0.0005, 0.004);
@@ -21,8 +22,13 @@
 const WORDS_LOST: f64 = 0.02;
 /// Parts the draws of a run from those of its faults.
 const RUN_MIX: u64 = 0x000c_4a05;
+/// Seconds between copies of the store's state, and copies kept.
+const COPY_EVERY: f64 = 0.5;
+const COPIES_MOST: usize = 64;
+/// Seconds since 1970 at which the first store of a run started: any number.
+const STORE_STARTS: u64 = 1000;
 /// Seconds of a flapping steward's half turn.
-const FLAP: f64 = 3.0;
+pub(crate) const FLAP: f64 = 3.0;
 
 /// What the checker must find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +41,8 @@
     LeaseOverrun,
     /// Proxies take an order that is sent again once more.
     NoMemory,
+    /// The store takes tables under any epoch; on processes alone, where tables are stored.
+    UncheckedWrites,
 }
 
 /// What is seen of a run. Times are true seconds.
@@ -97,7 +105,9 @@
     last_process: u64,
     last_order: u64,
     on: BTreeSet<usize>,
-    store: BTreeMap<u16, Holding>,
+    store: Grants,
+    /// Copies of the store as it was, the oldest first.
+    copies: VecDeque<(f64, Grants)>,
     fences: Vec<Fence>,
     seen: Vec<BTreeSet<u64>>,
     chance: ChaCha8Rng,
@@ -117,7 +127,11 @@
         last_process: 0,
         last_order: 0,
         on: BTreeSet::new(),
-        store: (0..chaos.slices).map(|slice| (slice, Holding::default())).collect(),
+        store: Grants::new(Broken {
+            reuses_epochs: sabotage == Some(Sabotage::EpochReused),
+            ..Broken::default()
+        }),
+        copies: VecDeque::new(),
         fences: vec![Fence::default(); chaos.proxies as usize],
         seen: vec![BTreeSet::new(); chaos.proxies as usize],
         chance: ChaCha8Rng::seed_from_u64(seed ^ RUN_MIX),
@@ -162,7 +176,17 @@
         let seed = self.chance.random();
         let (slices, span) = (self.chaos.slices, self.chaos.span);
         let (card, manners) = (Default::default(), Manners::default());
-        let seat = Seat { me: StewardId(id), process, weights: &weights, card, manners, slices, span, seed };
+        let seat = Seat {
+            me: StewardId(id),
+            process,
+            weights: &weights,
+            card,
+            manners,
+            slices,
+            span,
+            settle: 0.0,
+            seed,
+        };
         let speed = self.speeds.get(&id).copied().unwrap_or(1.0);
         let offset = self.chance.random::<f64>() * 1000.0;
         let office = Office::new(&seat, self.now * speed + offset);
@@ -263,7 +287,8 @@
         if let Some(steward) = self.stewards.get_mut(&id) {
             steward.believes.extend(acts.gained);
             if !overruns {
-                acts.lost.iter().for_each(|slice| _ = steward.believes.remove(slice));
+                let gone = acts.lost.iter().chain(&acts.lapsed);
+                gone.for_each(|slice| _ = steward.believes.remove(slice));
             }
         }
     }
@@ -355,40 +380,17 @@
             _ => 0.0,
         });
         let (slow, now) = (slow.fold(0.0, f64::max), self.now);
-        let mut says = StoreSays { number: ask.number, ..StoreSays::default() };
-        for (slice, epoch) in &ask.release {
-            self.store
-                .get_mut(slice)
-                .into_iter()
-                .for_each(|holding| _ = holding.release(ask.process, *epoch));
-        }
-        for (slice, epoch) in &ask.renew {
-            let holding = self.store.entry(*slice).or_default();
-            let ours = holding.holder == Some(ask.process) && holding.epoch == *epoch;
-            match ours.then(|| holding.ask(now, ask.process, ask.span)).flatten() {
-                Some(epoch) => says.granted.push((*slice, epoch)),
-                None => says.refused.push(*slice),
+        if self.copies.back().is_none_or(|(at, _)| now - at >= COPY_EVERY) {
+            self.copies.push_back((now, self.store.clone()));
+            if self.copies.len() > COPIES_MOST {
+                self.copies.pop_front();
             }
         }
-        for slice in &ask.take {
-            let holding = self.store.entry(*slice).or_default();
-            let before = *holding;
-            match holding.ask(now, ask.process, ask.span) {
-                Some(epoch) => {
-                    if self.sabotage == Some(Sabotage::EpochReused) && before.epoch.0 > 0 {
-                        holding.epoch = before.epoch;
-                    }
-                    let epoch =
-                        if self.sabotage == Some(Sabotage::EpochReused) { holding.epoch } else { epoch };
-                    if before.holder != Some(ask.process) {
-                        let (slice, epoch, process) = (*slice, epoch.0, ask.process);
-                        self.events.push(Event::Granted { at: now, slice, epoch, process });
-                    }
-                    says.granted.push((*slice, epoch));
-                }
-                None => says.refused.push(*slice),
-            }
+        let answer = self.store.answer(now, ask);
+        for (slice, epoch) in answer.anew {
+            self.events.push(Event::Granted { at: now, slice, epoch: epoch.0, process: ask.process });
         }
+        let says = answer.says;
         let arrives = now + self.way() + slow;
         self.due(arrives, Due::Says { steward: id, process: ask.process, says });
     }
@@ -418,11 +420,20 @@
                 self.stewards.get_mut(&steward).into_iter().for_each(|steward| steward.office.drain());
             }
             What::Flap { .. } => self.flap(number, self.now + long),
+            What::StoreForgets { by } => self.store_forgets(by),
             _ => {}
         }
         self.due(self.now + long, Due::Off(number));
     }
 
+    /// The store starts again from a copy that is so old.
+    fn store_forgets(&mut self, by: f64) {
+        let before = self.now - by;
+        let copy = self.copies.iter().rev().find(|(at, _)| *at <= before).or(self.copies.front());
+        let Some((_, copy)) = copy else { return };
+        self.store = copy.start_again(self.now, STORE_STARTS + self.now as u64);
+    }
+
     fn fault_off(&mut self, number: usize) {
         self.on.remove(&number);
         match self.faults[number].what {
--- a/crates/railhub-cli/src/chaos.rs
+++ b/crates/railhub-cli/src/chaos.rs
@@ -22,7 +22,7 @@
     /// Breaks what the rules rest on: the checker must find it.
     #[arg(long, value_enum)]
     pub sabotage: Option<Broken>,
-    /// On real processes, with links between them that break; for files that judge the view.
+    /// On real processes, with links between them that break.
     #[arg(long)]
     pub loopback: bool,
     /// Views: heartbeats to all and one fixed time-out instead, to weigh against; in simulated time.
@@ -49,6 +49,8 @@
     LeaseOverrun,
     /// Proxies take an order that is sent again once more.
     NoMemory,
+    /// The store takes tables under any epoch; on real processes.
+    UncheckedWrites,
     /// Views: one that is suspected does not say otherwise.
     NoRefutation,
     /// Views: the dead are never asked again.
@@ -72,6 +74,7 @@
             Broken::EpochReused => Sabotage::EpochReused,
             Broken::LeaseOverrun => Sabotage::LeaseOverrun,
             Broken::NoMemory => Sabotage::NoMemory,
+            Broken::UncheckedWrites => Sabotage::UncheckedWrites,
             _ => return None,
         })
     }
@@ -119,14 +122,14 @@
     if chaos.judged == Judged::View {
         return crate::chaos_view::run(&chaos, arguments);
     }
-    if arguments.loopback {
-        return Err(Ending::Input("--loopback plays files with judge = view; leases are simulated".into()));
-    }
     let sabotage = arguments.sabotage.map(Broken::how);
     if sabotage == Some(None) {
         return Err(Ending::Input("that sabotage is of views; this file judges leases".into()));
     }
     let sabotage = sabotage.flatten();
+    if arguments.loopback {
+        return crate::chaos_leases::run(&chaos, arguments, sabotage);
+    }
     let runs = each(arguments.seed, arguments.runs, cores(), |seed| {
         let events = play(&chaos, seed, &chaos.faults(seed), sabotage);
         (figures(&events).taken_up, !judge(&events).is_empty())
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `railhub`: the steward, scripted days, and the checker. Results go to standard output, logs to standard
 //! error; exit 0 good, 2 bad usage or input, 3 a rule broke or a check failed.
 mod chaos;
+mod chaos_leases;
 mod chaos_view;
 mod compare;
 mod day;
--- a/crates/railhub-cli/tests/fleet.rs
+++ b/crates/railhub-cli/tests/fleet.rs
@@ -315,7 +315,7 @@
             process.kill();
             troubles.into_iter().for_each(|thread| thread.join().expect("the troubles were caused"));
         });
-        Ok(Launched { address, kill })
+        Ok(Launched { address, fleet: None, process: None, pause: None, kill })
     });
     let day = format!("{}/../../days/short.ini", env!("CARGO_MANIFEST_DIR"));
     let day = railhub_day::Day::open(Path::new(&day)).expect("a good day");
--- a/crates/railhub-day/src/play.rs
+++ b/crates/railhub-day/src/play.rs
@@ -21,6 +21,12 @@
 /// A steward that was launched from its settings.
 pub struct Launched {
     pub address: SocketAddr,
+    /// Where other stewards reach it, if it is one of several.
+    pub fleet: Option<SocketAddr>,
+    /// The number of its process in the fleet.
+    pub process: Option<u64>,
+    /// Stops its process, or lets it go on; where that can be done.
+    pub pause: Option<Arc<dyn Fn(bool) + Send + Sync>>,
     /// Ends it outright.
     pub kill: Box<dyn FnOnce() + Send>,
 }
@@ -46,8 +52,10 @@
     let arrivals = draw::arrivals(day, draw::capacity(&draw::hosts(day, day.hosts, "hosts")));
     let recorder = Recorder::start(record).map_err(|e| e.to_string())?;
     let world = World::open(day, &recorder, launch, sabotage).map_err(|e| format!("the fleet: {e}"))?;
-    world.launch_steward()?;
-    world.follow_steward();
+    for steward in 0..day.stewards {
+        world.launch_steward(steward)?;
+    }
+    world.follow_stewards();
     std::thread::sleep(seconds(world.began - now()));
     world.note_limits();
     let late = now() - world.began;
--- a/crates/railhub-day/src/script.rs
+++ b/crates/railhub-day/src/script.rs
@@ -1,7 +1,9 @@
 //! A day as its file tells it.
 use crate::replay;
+use crate::stewards::TestClock;
 use crate::troubles::{self, Trouble};
 use railhub_ini::{Complaint, Section, Sheet};
+use railhub_membership::grants::Broken;
 use railhub_record::{ClassLimits, Limits, Repeats};
 use railhub_standin::client::ClientFacts;
 use railhub_standin::held::Pick;
@@ -10,6 +12,9 @@
 use std::path::Path;
 use std::sync::Arc;
 
+/// Stewards that a day may have: each is a process.
+const STEWARDS_MOST: f64 = 15.0;
+
 #[derive(Clone, Debug)]
 pub struct ClassScript {
     pub facts: ClassFacts,
@@ -69,6 +74,15 @@
     pub first_wait: f64,
     pub limits: Limits,
     pub troubles: Vec<Trouble>,
+    /// Processes that share the slices, 1: one has them all; and seconds of a lease.
+    pub stewards: usize,
+    pub lease: f64,
+    /// Clocks of stewards, for tests; none: as they are.
+    pub clocks: Vec<TestClock>,
+    /// What the store must not be, for tests of the judge alone.
+    pub broken_store: Broken,
+    /// A defence that stewards go without, for the same.
+    pub stewards_without: Option<&'static str>,
 }
 
 impl Day {
@@ -84,7 +98,8 @@
     pub fn read_beside(sheet: &Sheet, folder: &Path) -> Result<Day, Complaint> {
         let named = |prefix: &'static str| move |name: &String| name.starts_with(prefix);
         sheet.only(|name| {
-            let plain = ["day", "fleet", "load", "clients", "roster", "reports", "channel", "rules"];
+            let plain =
+                ["day", "fleet", "stewards", "load", "clients", "roster", "reports", "channel", "rules"];
             plain.contains(&name) || ["class ", "kind ", "trouble "].iter().any(|p| name.starts_with(p))
         })?;
         let sections = sheet.sections();
@@ -107,6 +122,7 @@
         let reports = sheet.section("reports");
         let channel = sheet.section("channel");
         let rules = sheet.section("rules");
+        let stewards = sheet.section("stewards");
         let zones = match fleet.list("zones") {
             names if names.is_empty() => vec!["here".to_owned()],
             names => names,
@@ -152,16 +168,24 @@
                 ..limits(&rules, &classes, slices)?
             },
             troubles: Vec::new(),
+            stewards: stewards.within("count", 1.0, 1.0, STEWARDS_MOST)? as usize,
+            lease: stewards.within("lease", 3.0, 0.5, 60.0)?,
+            clocks: Vec::new(),
+            broken_store: Broken::default(),
+            stewards_without: None,
             zones,
             kinds,
             slices,
             classes,
         };
+        if script.stewards > 1 && slices == 0 {
+            return Err(stewards.wrong("count", "needs slices that stewards can share"));
+        }
         let mut found = Vec::new();
         for name in sections.iter().filter(|name| named("trouble ")(name)) {
             found.push(troubles::read(&sheet.section(name), &script)?);
         }
-        for section in [day, fleet, load, clients, roster, reports, channel, rules] {
+        for section in [day, fleet, stewards, load, clients, roster, reports, channel, rules] {
             section.done()?;
         }
         Ok(Day { troubles: found, ..script })
--- a/crates/railhub-day/src/troubles.rs
+++ b/crates/railhub-day/src/troubles.rs
@@ -25,6 +25,14 @@
     Mix,
 }
 
+/// Which way of a link is cut, as the steward sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CutWay {
+    Both,
+    In,
+    Out,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum GiveUpHow {
     Leave,
@@ -34,29 +42,131 @@
 /// What happens. Shares are of 1, times are factors.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Crash { hosts: usize },
-    Deploy { hosts: usize, batch: usize, drain: f64 },
-    Hang { hosts: usize },
-    Slow { hosts: usize, times: f64 },
-    Pauses { hosts: usize, pause: f64, every: f64 },
-    Neighbour { hosts: usize, takes: f64, every: f64 },
-    AnswersLost { hosts: usize, share: f64 },
-    HotKey { share: f64, keys: usize },
-    Heavy { share: f64, times: f64 },
-    GiveUp { share: f64, patience: f64, how: GiveUpHow },
-    Shift { share: f64, how: ShiftHow },
-    Growth { times: f64, follows: f64 },
-    LateSums { by: f64 },
-    ListShrinks { hosts: usize },
-    Ghosts { hosts: usize, kinds: Vec<Ghost> },
+    Crash {
+        hosts: usize,
+    },
+    Deploy {
+        hosts: usize,
+        batch: usize,
+        drain: f64,
+    },
+    Hang {
+        hosts: usize,
+    },
+    Slow {
+        hosts: usize,
+        times: f64,
+    },
+    Pauses {
+        hosts: usize,
+        pause: f64,
+        every: f64,
+    },
+    Neighbour {
+        hosts: usize,
+        takes: f64,
+        every: f64,
+    },
+    AnswersLost {
+        hosts: usize,
+        share: f64,
+    },
+    HotKey {
+        share: f64,
+        keys: usize,
+    },
+    Heavy {
+        share: f64,
+        times: f64,
+    },
+    GiveUp {
+        share: f64,
+        patience: f64,
+        how: GiveUpHow,
+    },
+    Shift {
+        share: f64,
+        how: ShiftHow,
+    },
+    Growth {
+        times: f64,
+        follows: f64,
+    },
+    LateSums {
+        by: f64,
+    },
+    ListShrinks {
+        hosts: usize,
+    },
+    Ghosts {
+        hosts: usize,
+        kinds: Vec<Ghost>,
+    },
     ListBreaks,
     StoreAway,
-    LostZone { zone: u32, silent: bool },
-    BrokenStreams { share: f64 },
-    SlowChannel { times: f64 },
-    StewardKilled,
-    SlowLink { zone: u32, other: Option<u32>, delay: f64, lost: f64 },
-    RefusedVersion { share: f64 },
+    LostZone {
+        zone: u32,
+        silent: bool,
+    },
+    BrokenStreams {
+        share: f64,
+    },
+    SlowChannel {
+        times: f64,
+    },
+    StewardKilled {
+        steward: usize,
+    },
+    /// Its process stands still, and goes on as if nothing had been.
+    StewardPaused {
+        steward: usize,
+    },
+    /// Nothing passes between it and those named, in one way or both.
+    StewardCut {
+        steward: usize,
+        from: Vec<String>,
+        way: CutWay,
+    },
+    /// Nothing passes from one steward to another.
+    StewardWay {
+        from: usize,
+        to: usize,
+    },
+    /// It is told to hand its slices over.
+    StewardDrained {
+        steward: usize,
+    },
+    /// What it says to proxies takes so many seconds more.
+    SlowOrders {
+        steward: usize,
+        by: f64,
+    },
+    /// Stewards on one side and the rest do not reach each other.
+    StewardsSplit {
+        side: Vec<usize>,
+    },
+    /// What stewards say to each other is lost in part or comes late.
+    StewardLinks {
+        lost: f64,
+        delay: f64,
+    },
+    StoreSlow {
+        by: f64,
+    },
+    StoreLosesAnswers,
+    /// It starts again from a copy that is so many seconds old.
+    StoreForgets {
+        by: f64,
+    },
+    SlowLink {
+        zone: u32,
+        other: Option<u32>,
+        delay: f64,
+        lost: f64,
+    },
+    RefusedVersion {
+        share: f64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -89,6 +199,12 @@
         place.map(|n| Some(n as u32)).ok_or_else(|| section.wrong(key, format!("'{name}' is no zone")))
     };
     let need_zone = || zone("zone")?.ok_or_else(|| section.wrong("zone", "is missing"));
+    let steward =
+        || Ok::<usize, Complaint>(section.within("steward", 0.0, 0.0, day.stewards as f64 - 1.0)? as usize);
+    let one_of = |key: &str| {
+        let most = day.stewards as f64 - 1.0;
+        section.need_within(key, 0.0, most).map(|id| id as usize)
+    };
     let act = match kind.as_str() {
         "crash" => Act::Crash { hosts: hosts()? },
         "deploy" => Act::Deploy {
@@ -136,7 +252,28 @@
         "lost_zone" => Act::LostZone { zone: need_zone()?, silent: section.flag("silent", false)? },
         "broken_streams" => Act::BrokenStreams { share: share()? },
         "slow_channel" => Act::SlowChannel { times: times()? },
-        "steward_killed" => Act::StewardKilled,
+        "steward_killed" => Act::StewardKilled { steward: steward()? },
+        "steward_paused" => Act::StewardPaused { steward: steward()? },
+        "steward_cut" => Act::StewardCut {
+            steward: steward()?,
+            from: from_whom(section)?,
+            way: section.choice(
+                "way",
+                "both",
+                &[("both", CutWay::Both), ("in", CutWay::In), ("out", CutWay::Out)],
+            )?,
+        },
+        "steward_way" => Act::StewardWay { from: one_of("from")?, to: one_of("to")? },
+        "steward_drained" => Act::StewardDrained { steward: steward()? },
+        "slow_orders" => Act::SlowOrders { steward: steward()?, by: section.need_within("by", 0.0, 10.0)? },
+        "stewards_split" => Act::StewardsSplit { side: side(section, day)? },
+        "steward_links" => Act::StewardLinks {
+            lost: section.within("lost", 0.0, 0.0, 1.0)?,
+            delay: section.within("delay", 0.0, 0.0, 10.0)?,
+        },
+        "store_slow" => Act::StoreSlow { by: section.need_within("by", 0.0, 60.0)? },
+        "store_loses_answers" => Act::StoreLosesAnswers,
+        "store_forgets" => Act::StoreForgets { by: section.within("by", 0.0, 0.0, 60.0)? },
         "slow_link" => Act::SlowLink {
             zone: need_zone()?,
             other: zone("other")?,
@@ -157,6 +294,24 @@
     Ok(trouble)
 }
 
+/// Whom a steward is cut off from: `from = stewards, store, list, proxies`.
+fn from_whom(section: &Section) -> Result<Vec<String>, Complaint> {
+    let names = section.list("from");
+    let known = |name: &String| ["stewards", "store", "list", "proxies"].contains(&name.as_str());
+    if names.is_empty() || !names.iter().all(known) {
+        return Err(section.wrong("from", "names some of stewards, store, list, proxies"));
+    }
+    Ok(names)
+}
+
+fn side(section: &Section, day: &Day) -> Result<Vec<usize>, Complaint> {
+    let side =
+        section.list("side").into_iter().map(|id| id.parse::<usize>().ok().filter(|id| *id < day.stewards));
+    side.collect::<Option<Vec<usize>>>()
+        .filter(|side| !side.is_empty())
+        .ok_or_else(|| section.wrong("side", "names stewards, as in 0, 1"))
+}
+
 fn ghosts(section: &Section) -> Result<Vec<Ghost>, Complaint> {
     let names = match section.list("how") {
         names if names.is_empty() => vec!["refuse".to_owned()],
@@ -278,11 +433,37 @@
             wait();
             world.around.channel.slow_down(1.0 / times);
         }
-        Act::StewardKilled => {
-            world.kill_steward();
+        Act::StewardKilled { steward } => {
+            world.kill_steward(*steward);
+            wait();
+            world.start_steward(*steward);
+        }
+        Act::StewardPaused { steward } => {
+            world.pause_steward(*steward, true);
+            wait();
+            world.pause_steward(*steward, false);
+        }
+        Act::StewardDrained { steward } => world.drain_steward(*steward),
+        Act::StewardCut { .. }
+        | Act::StewardWay { .. }
+        | Act::SlowOrders { .. }
+        | Act::StewardsSplit { .. }
+        | Act::StewardLinks { .. } => {
+            world.strike_links(number, Some(&trouble.act));
+            wait();
+            world.strike_links(number, None);
+        }
+        Act::StoreSlow { by } => {
+            world.store.set_slow(*by);
+            wait();
+            world.store.set_slow(0.0);
+        }
+        Act::StoreLosesAnswers => {
+            world.store.lose_answers(true);
             wait();
-            world.start_steward();
+            world.store.lose_answers(false);
         }
+        Act::StoreForgets { by } => world.store.start_again(*by),
         Act::SlowLink { zone, other, delay, lost } => {
             let link = SlowLink { zone: *zone, other: *other, delay: *delay, lost: *lost };
             world.around.links.slow_down(number, link);
--- a/crates/railhub-day/src/world.rs
+++ b/crates/railhub-day/src/world.rs
@@ -1,8 +1,9 @@
 //! A fleet of stand-ins that runs, and what troubles may do to it.
 use crate::draw;
-use crate::play::{Launch, Launched};
+use crate::play::Launch;
 use crate::script::Day;
-use crate::troubles::{self, Ghost, Trouble};
+use crate::stewards::Stewards;
+use crate::troubles::{self, Act, Ghost, Trouble};
 use may::sync::Mutex;
 use railhub_net::{now, Task};
 use railhub_record::{Limits, Recorder, StewardLife, What};
@@ -34,7 +35,8 @@
     taken: Mutex<BTreeSet<usize>>,
     repeated: Repeated,
     launch: Option<Launch>,
-    steward: std::sync::Mutex<Option<Launched>>,
+    stewards: Stewards,
+    starting: std::sync::Mutex<()>,
     tasks: Mutex<Vec<Task>>,
 }
 
@@ -74,7 +76,7 @@
             hosts.iter().map(|placed| (placed.open.host.address, placed.open.host.facts.zone)).collect();
         let around = Surroundings {
             classes,
-            steward: Arc::default(),
+            stewards: Arc::new(Mutex::new(vec![None; day.stewards])),
             zones: Arc::new(Mutex::new(zones)),
             links: Links::default(),
             channel: Channel::new(day.lines_a_second, day.limits.message_cost),
@@ -88,18 +90,22 @@
             Proxy::new(proxy_facts(day, n), around.clone(), tables.clone(), wrong)
         });
         let proxies: Vec<_> = proxies.collect();
+        let shared = (day.stewards > 1).then(|| recorder.clone());
+        let store = Store::open_as(tables, shared, day.broken_store)?;
+        let stewards = Stewards::open(day, &roster, store.address)?;
         Ok(Arc::new(World {
             day: day.clone(),
             began: now() + JOIN_WITHIN,
             around,
             roster,
-            store: Store::open(tables)?,
+            store,
             proxies,
             hosts: Mutex::new(hosts),
             taken: Mutex::default(),
             repeated,
             launch,
-            steward: std::sync::Mutex::new(None),
+            stewards,
+            starting: std::sync::Mutex::default(),
             tasks: Mutex::default(),
         }))
     }
@@ -243,44 +249,70 @@
     }
 
     /// Launches a steward and tells the proxies where it is. Waits for it: not in a coroutine.
-    pub fn launch_steward(&self) -> Result<(), String> {
+    pub fn launch_steward(&self, steward: usize) -> Result<(), String> {
         let Some(launch) = &self.launch else { return Ok(()) };
-        let launched = launch(&steward_file(&self.day, self.roster.address, self.store.address))?;
-        self.around.recorder.note(now(), What::StewardLife(StewardLife { up: true }));
-        *self.around.steward.lock().expect("no holder panics") = Some(launched.address);
-        *self.steward.lock().expect("no holder panics") = Some(launched);
+        let address =
+            self.stewards.launch(&self.day, launch, steward, self.roster.address, self.store.address)?;
+        self.note_life(steward, true);
+        self.around.stewards.lock().expect("no holder panics")[steward] = Some(address);
         Ok(())
     }
 
-    pub fn start_steward(self: &Arc<World>) {
+    fn note_life(&self, steward: usize, up: bool) {
+        let set_back = self.day.clocks.get(steward).is_some_and(|clock| clock.jumps_by < 0.0);
+        let life = StewardLife { up, steward: steward as u32, still: false, set_back };
+        self.around.recorder.note(now(), What::StewardLife(life));
+    }
+
+    pub fn start_steward(self: &Arc<World>, steward: usize) {
         let world = self.clone();
         std::thread::spawn(move || {
-            if let Err(error) = world.launch_steward() {
-                tracing::error!(error, "the steward does not start again");
+            // Another trouble may have started it meanwhile, or does so now.
+            let _one_at_a_time = world.starting.lock().expect("no holder panics");
+            if world.stewards.is_running(steward) {
+                return;
+            }
+            if let Err(error) = world.launch_steward(steward) {
+                tracing::error!(error, steward, "the steward does not start again");
             }
         });
     }
 
-    pub fn kill_steward(&self) {
-        let launched = self.steward.lock().expect("no holder panics").take();
-        *self.around.steward.lock().expect("no holder panics") = None;
-        if let Some(launched) = launched {
-            (launched.kill)();
-            self.around.recorder.note(now(), What::StewardLife(StewardLife { up: false }));
+    pub fn kill_steward(&self, steward: usize) {
+        self.around.stewards.lock().expect("no holder panics")[steward] = None;
+        if self.stewards.kill(steward) {
+            self.note_life(steward, false);
         }
     }
 
-    pub fn follow_steward(&self) {
+    /// Its process stands still, or goes on.
+    pub fn pause_steward(&self, steward: usize, stops: bool) {
+        self.stewards.pause(steward, stops);
+        let life = StewardLife { up: true, steward: steward as u32, still: stops, set_back: false };
+        self.around.recorder.note(now(), What::StewardLife(life));
+    }
+
+    /// It is told to hand its slices over.
+    pub fn drain_steward(&self, steward: usize) {
+        self.stewards.drain(&self.day, steward);
+    }
+
+    /// A trouble of the links between stewards, list, store and proxies begins, or is over.
+    pub fn strike_links(&self, number: usize, act: Option<&Act>) {
+        self.stewards.strike(number, act);
+    }
+
+    pub fn follow_stewards(&self) {
         if self.launch.is_some() {
             let mut tasks = self.tasks.lock().expect("no holder panics");
-            tasks.extend(self.proxies.iter().flat_map(|proxy| proxy.follow_steward()));
+            tasks.extend(self.proxies.iter().flat_map(|proxy| proxy.follow_stewards()));
         }
     }
 
     /// Ends everything.
     pub fn close(&self) {
         self.tasks.lock().expect("no holder panics").clear();
-        self.kill_steward();
+        (0..self.stewards.count()).for_each(|steward| self.kill_steward(steward));
         self.proxies.iter().for_each(|proxy| {
             proxy.break_stream();
             proxy.close();
--- a/crates/railhub-day/tests/late.rs
+++ b/crates/railhub-day/tests/late.rs
@@ -11,7 +11,7 @@
     let slow = Arc::new(|_: &str| {
         std::thread::sleep(std::time::Duration::from_millis(2500));
         let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-        Ok(Launched { address, kill: Box::new(|| {}) })
+        Ok(Launched { address, fleet: None, process: None, pause: None, kill: Box::new(|| {}) })
     });
     let fault = play(&day, Some(slow), None, None, &|_| {}).err().expect("it is late");
     assert!(fault.starts_with("the day would begin 0.") && fault.contains("s late"), "{fault}");
--- a/crates/railhub-fleet/src/list.rs
+++ b/crates/railhub-fleet/src/list.rs
@@ -92,5 +92,5 @@
         .into(),
         started: line.started,
     });
-    Roster { whole, entries: entries.collect() }
+    Roster { whole, entries: entries.collect(), steward: 0 }
 }
--- a/crates/railhub-fleet/src/steward.rs
+++ b/crates/railhub-fleet/src/steward.rs
@@ -95,7 +95,7 @@
     fn probe(&mut self, host: HostId) {
         self.probes.push(host);
     }
-    fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>) {
+    fn store(&mut self, slice: SliceId, _: u64, lines: Vec<(HostId, f64)>) {
         self.stored.push((slice, lines));
     }
     fn decided(&mut self, _: &str) {}
@@ -158,7 +158,7 @@
             touched: Touched::default(),
             gathers: false,
         });
-        self.note(What::StewardLife(StewardLife { up: true }));
+        self.note(What::StewardLife(StewardLife { up: true, ..StewardLife::default() }));
         if self.day.slices > 0 && !self.store_away {
             self.give_charges();
         }
@@ -176,7 +176,7 @@
 
     pub fn kill_steward(&mut self) {
         let Some(steward) = self.steward.take() else { return };
-        self.note(What::StewardLife(StewardLife { up: false }));
+        self.note(What::StewardLife(StewardLife { up: false, ..StewardLife::default() }));
         for proxy in 0..steward.gates.len() {
             if steward.gates[proxy].is_some() {
                 self.stream_ends(proxy);
@@ -368,7 +368,7 @@
                 gate.push(Arc::new(Publication::new(whole, steward.incarnation, version, now, None)));
             }
         }
-        self.note(What::Stream(Stream { proxy: proxy as u32, up: true }));
+        self.note(What::Stream(Stream { proxy: proxy as u32, up: true, steward: 0 }));
         self.steward_acts();
     }
 
@@ -390,7 +390,7 @@
         if self.proxies[proxy].stream.take().is_none() {
             return;
         }
-        self.note(What::Stream(Stream { proxy: proxy as u32, up: false }));
+        self.note(What::Stream(Stream { proxy: proxy as u32, up: false, steward: 0 }));
         let pause = self.proxies[proxy].random() * self.day.redial;
         self.agenda.after(pause, Due::Dials(proxy));
     }
@@ -401,12 +401,17 @@
         }
         let Publication { change, incarnation, version, ordered_at, .. } = publication;
         let delta = change.to_delta(*incarnation, *version, *ordered_at);
-        self.note(What::Delta(Received { proxy: proxy as u32, delta: delta.clone() }));
+        self.note(What::Delta(Received { proxy: proxy as u32, delta: delta.clone(), steward: 0 }));
         let state = &mut self.proxies[proxy];
         let refuses = std::mem::take(&mut state.refuses_next);
         let refused = refuses || state.held.take_in(&delta).is_err();
         state.held.has_gap |= refused;
-        self.note(What::Answered(Answered { proxy: proxy as u32, nonce: *version, refused }));
+        self.note(What::Answered(Answered {
+            proxy: proxy as u32,
+            nonce: *version,
+            refused,
+            ..Answered::default()
+        }));
         self.agenda.after(self.physics.way, Due::Word(proxy, stream, *version, refused));
     }
 
--- a/crates/railhub-fleet/src/troubles.rs
+++ b/crates/railhub-fleet/src/troubles.rs
@@ -211,7 +211,18 @@
                 proxies.into_iter().for_each(|proxy| self.proxies[proxy].refuses_next = true);
             }
             Act::SlowChannel { times } => self.channel_slower *= times,
-            Act::StewardKilled => self.kill_steward(),
+            Act::StewardKilled { .. } => self.kill_steward(),
+            // The model has one steward, and a day with several is refused: these are of days with several.
+            Act::StewardPaused { .. }
+            | Act::StewardCut { .. }
+            | Act::StewardWay { .. }
+            | Act::StewardDrained { .. }
+            | Act::SlowOrders { .. }
+            | Act::StewardsSplit { .. }
+            | Act::StewardLinks { .. }
+            | Act::StoreSlow { .. }
+            | Act::StoreLosesAnswers
+            | Act::StoreForgets { .. } => {}
             Act::SlowLink { .. } => _ = self.slow_links.insert(number),
         }
         self.agenda.after(trouble.long, Due::TroubleOff(number));
@@ -238,7 +249,7 @@
             Act::LostZone { silent: true, .. } => self.ail(&struck, |a| a.hangs = false),
             Act::LostZone { .. } => struck.iter().for_each(|place| self.start_again(*place)),
             Act::SlowChannel { times } => self.channel_slower /= times,
-            Act::StewardKilled => self.start_steward_soon(),
+            Act::StewardKilled { .. } => self.start_steward_soon(),
             Act::SlowLink { .. } => _ = self.slow_links.remove(&number),
             _ => {}
         }
--- a/crates/railhub-fleet/src/world.rs
+++ b/crates/railhub-fleet/src/world.rs
@@ -124,6 +124,9 @@
 /// The same day with other luck: the same hosts, operations and troubles, other picks of the proxies and other
 /// moments of their reports. What differs between two lucks is what two loopback runs of a day differ by.
 pub fn run_with_luck(day: &Day, policy: &Policy, physics: Physics, luck: u64) -> Result<Vec<Event>, String> {
+    if day.stewards > 1 {
+        return Err("days with several stewards are played on loopback".into());
+    }
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let sheet = Sheet::read("the steward's settings", &steward_file(day, nowhere, nowhere));
     let installation = sheet.and_then(|sheet| Installation::read(&sheet)).map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/railhub-membership/src/grants.rs
@@ -0,0 +1,192 @@
+//! The store's side of leases: who holds which slice under which epoch, and whose table may be written. No I/O and no
+//! clock: the stand-in store and the simulated one drive the same code, one question at a time.
+//!
+//! *A restart from an older copy* of its state must be noticed, since epochs never go back. Two things see to it:
+//! each start has a base, and epochs granted since are above it; and a steward that renews names the epoch it holds,
+//! so a store that has never heard of it knows that it is behind. After a start nothing is granted anew for the
+//! longest span that was ever granted: whoever holds something that the copy does not know of has renewed it by
+//! then, and is taken at its word, or has stopped.
+use crate::lease::Holding;
+use crate::office::{StoreAsk, StoreSays};
+use crate::{Epoch, Seconds};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Epochs of one start: a million grants of one slice. Starts are told apart by seconds since 1970.
+const EPOCHS_A_START: u64 = 1 << 20;
+/// Slices that the store answers for.
+const SLICES_MOST: usize = 1 << 16;
+/// Seconds of the longest lease that is granted.
+const SPAN_MOST: Seconds = 60.0;
+
+/// What the judge must find: a store that is broken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Broken {
+    /// A slice is granted anew under the epoch it had.
+    pub reuses_epochs: bool,
+    /// Tables are written under any epoch.
+    pub writes_unchecked: bool,
+}
+
+/// What follows from a question.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answer {
+    pub says: StoreSays,
+    /// Granted to another process than before, or after a break.
+    pub anew: Vec<(u16, Epoch)>,
+}
+
+/// All holdings; what a copy holds of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Grants {
+    holdings: BTreeMap<u16, Holding>,
+    /// Epochs granted since this start are at least this.
+    base: u64,
+    span_most: Seconds,
+    /// Nothing is granted anew before.
+    quiet_until: Seconds,
+    pub broken: Broken,
+}
+
+impl Grants {
+    /// A store that starts for the first time.
+    pub fn new(broken: Broken) -> Grants {
+        Grants { broken, ..Grants::default() }
+    }
+
+    /// Starts again from what was kept, which may be older than what was last granted.
+    /// `start`: seconds since 1970, higher than at the start before.
+    pub fn start_again(&self, now: Seconds, start: u64) -> Grants {
+        let base = (start.saturating_mul(EPOCHS_A_START)).max(self.base + 1);
+        Grants { base, quiet_until: now + self.span_most, ..self.clone() }
+    }
+
+    fn is_quiet(&self, now: Seconds) -> bool {
+        now < self.quiet_until
+    }
+
+    /// Releases, renews and takes, in this order, in one step.
+    pub fn answer(&mut self, now: Seconds, ask: &StoreAsk) -> Answer {
+        let mut answer = Answer::default();
+        answer.says.number = ask.number;
+        let span = if ask.span.is_finite() { ask.span.clamp(0.0, SPAN_MOST) } else { 0.0 };
+        self.span_most = self.span_most.max(span);
+        for (slice, epoch) in &ask.release {
+            self.holdings.get_mut(slice).into_iter().for_each(|held| _ = held.release(ask.process, *epoch));
+        }
+        for (slice, epoch) in &ask.renew {
+            match self.renew(now, ask.process, span, *slice, *epoch) {
+                true => answer.says.granted.push((*slice, *epoch)),
+                false => answer.says.refused.push(*slice),
+            }
+        }
+        for slice in &ask.take {
+            match self.take(now, ask.process, span, *slice) {
+                Some((epoch, anew)) => {
+                    answer.says.granted.push((*slice, epoch));
+                    answer.anew.extend(anew.then_some((*slice, epoch)));
+                }
+                None => answer.says.refused.push(*slice),
+            }
+        }
+        answer
+    }
+
+    fn renew(&mut self, now: Seconds, process: u64, span: Seconds, slice: u16, epoch: Epoch) -> bool {
+        let quiet = self.is_quiet(now);
+        let Some(held) = self.holding(slice) else { return false };
+        if held.holder == Some(process) && held.epoch == epoch {
+            return held.ask(now, process, span).is_some();
+        }
+        // The store is behind: it never granted this. While it is quiet nobody else was given the slice since.
+        if epoch > held.epoch {
+            *held = match quiet {
+                true => Holding { epoch, holder: Some(process), until: now + span },
+                false => Holding { epoch, holder: None, until: now },
+            };
+            return quiet;
+        }
+        false
+    }
+
+    fn take(&mut self, now: Seconds, process: u64, span: Seconds, slice: u16) -> Option<(Epoch, bool)> {
+        let (quiet, base, reuses) = (self.is_quiet(now), self.base, self.broken.reuses_epochs);
+        let held = self.holding(slice)?;
+        let before = *held;
+        if quiet && before.holder != Some(process) {
+            return None;
+        }
+        let mut epoch = held.ask(now, process, span)?;
+        let anew = before.holder != Some(process);
+        if anew {
+            epoch = Epoch(epoch.0.max(base));
+            if reuses && before.epoch.0 > 0 {
+                epoch = before.epoch;
+            }
+            held.epoch = epoch;
+        }
+        Some((epoch, anew))
+    }
+
+    /// `None`: more slices than the store answers for.
+    fn holding(&mut self, slice: u16) -> Option<&mut Holding> {
+        let full = self.holdings.len() >= SLICES_MOST && !self.holdings.contains_key(&slice);
+        (!full).then(|| self.holdings.entry(slice).or_default())
+    }
+
+    /// Whether a table may be written: compare-and-set on the epoch. One that was released may still be written
+    /// under its last epoch until it is granted anew.
+    pub fn may_write(&self, slice: u16, epoch: Epoch) -> bool {
+        self.broken.writes_unchecked
+            || self.holdings.get(&slice).map_or(epoch == Epoch(0), |held| held.may_write(epoch))
+    }
+
+    pub fn holding_of(&self, slice: u16) -> Option<&Holding> {
+        self.holdings.get(&slice)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ask(process: u64, take: &[u16], renew: &[(u16, u64)]) -> StoreAsk {
+        let renew = renew.iter().map(|(slice, epoch)| (*slice, Epoch(*epoch))).collect();
+        StoreAsk { number: 1, process, span: 3.0, take: take.to_vec(), renew, release: Vec::new() }
+    }
+
+    #[test]
+    fn a_store_that_forgot_a_grant_takes_its_holder_at_its_word_and_grants_above_it() {
+        let mut grants = Grants::new(Broken::default());
+        assert_eq!(grants.answer(0.0, &ask(1, &[4], &[])).says.granted, [(4, Epoch(1))]);
+        let copy = grants.clone();
+        let later = grants.answer(5.0, &ask(2, &[4], &[])).says.granted[0].1;
+        assert_eq!(later, Epoch(2));
+        let mut again = copy.start_again(5.5, 7);
+        // The former holder, which the copy still names, and strangers get nothing before the holder has spoken.
+        assert_eq!(again.answer(5.6, &ask(3, &[4], &[])).says.refused, [4]);
+        assert_eq!(again.answer(5.7, &ask(2, &[], &[(4, 2)])).says.granted, [(4, Epoch(2))]);
+        assert_eq!(again.answer(5.8, &ask(1, &[], &[(4, 1)])).says.refused, [4]);
+        assert_eq!(again.answer(9.0, &ask(3, &[4], &[])).says.granted, [(4, Epoch(7 * EPOCHS_A_START))]);
+        assert!(again.may_write(4, Epoch(7 * EPOCHS_A_START)) && !again.may_write(4, Epoch(2)));
+    }
+
+    #[test]
+    fn epochs_never_go_back_where_the_clock_of_starts_was_set_back() {
+        let mut grants = Grants::new(Broken::default()).start_again(0.0, 100);
+        let first = grants.answer(0.1, &ask(1, &[1], &[])).says.granted[0].1;
+        let mut again = Grants::new(Broken::default()).start_again(4.0, 3);
+        assert_eq!(again.answer(4.1, &ask(1, &[], &[(1, first.0)])).says.refused, [1], "no span is known");
+        let next = again.answer(4.2, &ask(2, &[1], &[])).says.granted[0].1;
+        assert!(next > first, "{next:?} after {first:?}");
+    }
+
+    #[test]
+    fn a_table_is_written_under_the_epoch_that_was_granted_alone() {
+        let mut grants = Grants::new(Broken::default());
+        grants.answer(0.0, &ask(1, &[2], &[]));
+        assert!(grants.may_write(2, Epoch(1)) && !grants.may_write(2, Epoch(0)));
+        grants.answer(9.0, &ask(2, &[2], &[]));
+        assert!(!grants.may_write(2, Epoch(1)) && grants.may_write(2, Epoch(2)));
+    }
+}
--- a/crates/railhub-membership/src/lib.rs
+++ b/crates/railhub-membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! What stewards that share a fleet decide about each other. [`swim`] says who lives, out of messages between
 //! them; [`share`] says whose a slice should be; [`lease`] says whose it is, out of what the store granted, and
-//! keeps every steward from ordering anything past its grant. No I/O, no clock: times are passed in, messages are
+//! keeps every steward from ordering anything past its grant; [`grants`] is the store's side of it. No I/O, no clock: times are passed in, messages are
 //! given back. The running steward, the chaos model and the explorer drive the same code.
 //!
 //! Who owns what: a [`table`] owns what is held of each steward and how words about it merge; [`swim`] owns how each
@@ -14,6 +14,7 @@
 //! 5. If it says nothing, it is dead for whoever's suspicion ends first, and for all by rumour or comparison.
 //! 6. It is asked again, ever less often, and forgotten in the end; of its process there stays a number.
 pub mod entry;
+pub mod grants;
 pub mod health;
 pub mod lease;
 pub mod office;
--- a/crates/railhub-membership/src/office.rs
+++ b/crates/railhub-membership/src/office.rs
@@ -44,7 +44,10 @@
     pub mail: Mail,
     pub ask: Option<StoreAsk>,
     pub gained: Vec<(u16, Epoch)>,
+    /// Given up, or another's by the store's word.
     pub lost: Vec<u16>,
+    /// Their leases are over, and nobody has said whose they are.
+    pub lapsed: Vec<u16>,
     pub changed: Vec<Changed>,
 }
 
@@ -75,6 +78,8 @@
     pub slices: u16,
     /// Seconds that a lease is granted for.
     pub span: Seconds,
+    /// Seconds before the first question to the store: time to learn who else is there.
+    pub settle: Seconds,
     pub seed: u64,
 }
 
@@ -95,7 +100,7 @@
             leases: Leases::new(seat.span),
             number: 0,
             asked: None,
-            ask_at: now,
+            ask_at: now + seat.settle,
             refused: BTreeMap::new(),
             drains: false,
         }
@@ -106,6 +111,16 @@
         self.leases.may_order(now, slice)
     }
 
+    /// A question to the store is out.
+    pub fn is_asking(&self) -> bool {
+        self.asked.is_some()
+    }
+
+    /// All that is held, to be asked at the moment of writing by those that write.
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
     pub fn held(&self) -> impl Iterator<Item = (u16, Epoch)> + '_ {
         self.leases.held()
     }
@@ -117,6 +132,10 @@
         self.sharing.drain(self.me, true);
     }
 
+    pub fn drains(&self) -> bool {
+        self.drains
+    }
+
     pub fn is_drained(&self) -> bool {
         self.drains && self.leases.count() == 0
     }
@@ -152,7 +171,7 @@
 
     pub fn tick(&mut self, now: Seconds) -> Acts {
         // Before anything else: what a pause or a store that was away has cost.
-        let mut acts = Acts { lost: self.leases.lapse(now), ..Acts::default() };
+        let mut acts = Acts { lapsed: self.leases.lapse(now), ..Acts::default() };
         (acts.mail, acts.changed) = self.members.tick(now);
         self.follow(now, &acts.changed);
         if self.asked.is_some_and(|(_, at)| now - at > ANSWER_WITHIN) {
--- a/crates/railhub-membership/src/packet.rs
+++ b/crates/railhub-membership/src/packet.rs
@@ -80,6 +80,11 @@
         from: StewardId,
     },
     View(Box<View>),
+    /// Hand your slices over, if you are this process: an old word must not drain the next one.
+    Drain {
+        steward: StewardId,
+        process: u64,
+    },
 }
 
 #[derive(Clone, PartialEq, Wire)]
@@ -231,11 +236,21 @@
     Look(WireLook),
     #[prost(message, tag = "3")]
     View(WireView),
+    #[prost(message, tag = "4")]
+    Drain(WireDrain),
+}
+
+#[derive(Clone, PartialEq, Wire)]
+struct WireDrain {
+    #[prost(uint32, tag = "1")]
+    steward: u32,
+    #[prost(uint64, tag = "2")]
+    process: u64,
 }
 
 #[derive(Clone, PartialEq, Wire)]
 struct WirePacket {
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     body: Option<Body>,
 }
 
@@ -246,6 +261,9 @@
         Packet::Words(message) => Body::Words(wire_message(message)),
         Packet::Look { nonce, from } => Body::Look(WireLook { nonce: *nonce, from: from.0.into() }),
         Packet::View(view) => Body::View(wire_view(view)),
+        Packet::Drain { steward, process } => {
+            Body::Drain(WireDrain { steward: steward.0.into(), process: *process })
+        }
     };
     let name = &installation.as_bytes()[..installation.len().min(NAME_MOST)];
     let mut rest = vec![name.len() as u8];
@@ -287,6 +305,7 @@
         Body::Words(message) => Ok(Packet::Words(Box::new(read_message(message)?))),
         Body::Look(look) => Ok(Packet::Look { nonce: look.nonce, from: id(look.from)? }),
         Body::View(view) => Ok(Packet::View(Box::new(read_view(view)?))),
+        Body::Drain(drain) => Ok(Packet::Drain { steward: id(drain.steward)?, process: drain.process }),
     }
 }
 
@@ -523,6 +542,7 @@
             message(Ask::Want(ids), NEWS_MOST),
             message(compare, 0),
             Packet::Look { nonce: 7, from: StewardId(9) },
+            Packet::Drain { steward: StewardId(3), process: 12 },
             Packet::View(Box::new(view)),
         ];
         for packet in all {
--- a/crates/railhub-membership/src/table.rs
+++ b/crates/railhub-membership/src/table.rs
@@ -27,6 +27,8 @@
     OwnTrouble,
     /// All but refutation, processes and the bound: SWIM as it was first published.
     Additions,
+    /// Slices are given up when their leases end.
+    LeaseEnd,
 }
 
 /// What a word was worth.
--- a/crates/railhub-net/src/http.rs
+++ b/crates/railhub-net/src/http.rs
@@ -120,6 +120,18 @@
         serde_json::from_slice(&body).map_err(|e| HttpFault::Malformed(e.to_string()))
     }
 
+    /// Sends a body and reads one.
+    pub fn exchange<T: DeserializeOwned>(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, HttpFault> {
+        let bytes = serde_json::to_vec(body).map_err(|e| HttpFault::Malformed(e.to_string()))?;
+        let body = self.call(method, path, &bytes)?;
+        serde_json::from_slice(&body).map_err(|e| HttpFault::Malformed(e.to_string()))
+    }
+
     pub fn tell(&mut self, path: &str, body: &impl Serialize) -> Result<(), HttpFault> {
         let bytes = serde_json::to_vec(body).map_err(|e| HttpFault::Malformed(e.to_string()))?;
         self.call("PUT", path, &bytes).map(drop)
--- a/crates/railhub-proto/src/messages.rs
+++ b/crates/railhub-proto/src/messages.rs
@@ -151,6 +151,18 @@
     /// Where there are no slices: the table the proxy is put on.
     #[prost(uint32, optional, tag = "10")]
     pub handed: Option<u32>,
+    /// Where stewards share the slices: under which epoch each slice named above is ordered. A proxy that has obeyed
+    /// a newer one for a slice leaves out what this says of it.
+    #[prost(message, repeated, tag = "11")]
+    pub epochs: Vec<SliceEpoch>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SliceEpoch {
+    #[prost(uint32, tag = "1")]
+    pub slice: u32,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
 }
 
 impl Delta {
--- a/crates/railhub-record/src/events.rs
+++ b/crates/railhub-record/src/events.rs
@@ -6,7 +6,7 @@
 pub struct Event {
     #[prost(double, tag = "1")]
     pub at: f64,
-    #[prost(oneof = "What", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "What", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub what: Option<What>,
 }
 
@@ -38,6 +38,10 @@
     Trouble(Trouble),
     #[prost(message, tag = "14")]
     StewardLife(StewardLife),
+    #[prost(message, tag = "15")]
+    Granted(Granted),
+    #[prost(message, tag = "16")]
+    Stored(Stored),
 }
 
 /// What the rules of this run are; first in a record.
@@ -143,6 +147,9 @@
     pub whole: bool,
     #[prost(message, repeated, tag = "2")]
     pub entries: Vec<Entry>,
+    /// Which of the stewards was told.
+    #[prost(uint32, tag = "3")]
+    pub steward: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -170,6 +177,9 @@
     pub proxy: u32,
     #[prost(bool, tag = "2")]
     pub up: bool,
+    /// Which of the stewards.
+    #[prost(uint32, tag = "3")]
+    pub steward: u32,
 }
 
 /// A delta as it reached a proxy.
@@ -179,6 +189,9 @@
     pub proxy: u32,
     #[prost(message, required, tag = "2")]
     pub delta: Delta,
+    /// Which of the stewards sent it.
+    #[prost(uint32, tag = "3")]
+    pub steward: u32,
 }
 
 /// A proxy's word on a delta.
@@ -190,6 +203,11 @@
     pub nonce: u64,
     #[prost(bool, tag = "3")]
     pub refused: bool,
+    #[prost(uint32, tag = "4")]
+    pub steward: u32,
+    /// Slices that it left out, since it has obeyed a newer epoch for them.
+    #[prost(uint32, repeated, tag = "5")]
+    pub left_out: Vec<u32>,
 }
 
 /// A proxy sent an operation to a host. The second and further tries of one coming of a client are its own.
@@ -296,9 +314,39 @@
     pub channel_slower: f64,
 }
 
-/// The steward's process was started, or killed.
+/// A steward's process was started, or ended.
 #[derive(Clone, PartialEq, Message)]
 pub struct StewardLife {
     #[prost(bool, tag = "1")]
     pub up: bool,
+    #[prost(uint32, tag = "2")]
+    pub steward: u32,
+    /// It lives and stands still; when it goes on, it is up again.
+    #[prost(bool, tag = "3")]
+    pub still: bool,
+    /// Its clock is set back while it runs: its leases cannot end in time, and epochs alone keep it from harm.
+    #[prost(bool, tag = "4")]
+    pub set_back: bool,
+}
+
+/// The store granted a slice to a steward's process that did not hold it before.
+#[derive(Clone, PartialEq, Message)]
+pub struct Granted {
+    #[prost(uint32, tag = "1")]
+    pub slice: u32,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "3")]
+    pub process: u64,
+}
+
+/// A table came to the store under an epoch, and was written or not.
+#[derive(Clone, PartialEq, Message)]
+pub struct Stored {
+    #[prost(uint32, tag = "1")]
+    pub slice: u32,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(bool, tag = "3")]
+    pub written: bool,
 }
--- a/crates/railhub-rules/src/channel.rs
+++ b/crates/railhub-rules/src/channel.rs
@@ -14,12 +14,13 @@
     if limits.message_cap == 0 {
         return;
     }
-    let mut lately: BTreeMap<u32, VecDeque<f64>> = BTreeMap::new();
+    // Where stewards share, each keeps to the limit by itself.
+    let mut lately: BTreeMap<(u32, u32), VecDeque<f64>> = BTreeMap::new();
     for event in events {
         match &event.what {
-            Some(What::Stream(stream)) if stream.up => _ = lately.remove(&stream.proxy),
+            Some(What::Stream(stream)) if stream.up => _ = lately.remove(&(stream.proxy, stream.steward)),
             Some(What::Delta(received)) => {
-                let times = lately.entry(received.proxy).or_default();
+                let times = lately.entry((received.proxy, received.steward)).or_default();
                 times.push_back(event.at);
                 while times.front().is_some_and(|at| *at <= event.at - limits.messages_span) {
                     times.pop_front();
--- a/crates/railhub-rules/src/cold.rs
+++ b/crates/railhub-rules/src/cold.rs
@@ -1,5 +1,6 @@
 //! Rule 4: no cold host is pushed over: what is sent to it within any span of the stated length stays under a
 //! multiple of what it can do in that time, all proxies together.
+use crate::charge::InCharge;
 use crate::slow::Slowness;
 use crate::Verdict;
 use railhub_record::{Event, HostUp, Limits, What};
@@ -40,7 +41,8 @@
     let mut verdict = Verdict::new(4, "no cold host is pushed over");
     let slowness = Slowness::of(events);
     let mut starts: BTreeMap<&str, Start> = BTreeMap::new();
-    let mut last_ordered: BTreeMap<u32, f64> = BTreeMap::new();
+    let mut last_ordered: BTreeMap<(u32, u32), f64> = BTreeMap::new();
+    let mut charge = InCharge::default();
     for event in events {
         let at = event.at;
         match &event.what {
@@ -59,14 +61,18 @@
                 }
             }
             Some(What::Delta(received)) => {
-                last_ordered.insert(received.proxy, received.delta.ordered_at);
+                charge.hear(at, received);
+                last_ordered.insert((received.proxy, received.steward), received.delta.ordered_at);
             }
             Some(What::Try(tried)) => {
                 let Some(start) = starts.get_mut(tried.host.as_str()) else { continue };
                 if at - start.at > start.up.warm_after {
                     continue;
                 }
-                let ordered = last_ordered.get(&tried.proxy).copied().unwrap_or(f64::NEG_INFINITY);
+                let ordered = last_ordered
+                    .get(&(tried.proxy, charge.steward(tried.proxy, tried.slice)))
+                    .copied()
+                    .unwrap_or(f64::NEG_INFINITY);
                 let knew = start.told.is_some_and(|told| {
                     ordered >= told || at >= told + limits.grace * slowness.between(told, at)
                 });
--- a/crates/railhub-rules/src/lib.rs
+++ b/crates/railhub-rules/src/lib.rs
@@ -3,13 +3,17 @@
 //! Shares no code with what a steward decides by, and knows nothing of it. Each rule is a function over the
 //! events in the order of their times; it says whether the rule was kept, how near it came, and where it broke.
 mod channel;
+mod charge;
 mod cold;
 mod leaving;
 mod lost;
+mod sharing;
 mod slow;
 mod told;
 mod twice;
 
+pub use sharing::taken_up;
+
 use railhub_record::{Event, Limits, What};
 use serde::Serialize;
 
@@ -60,16 +64,20 @@
 const LONGEST_RUN: f64 = 86_400.0;
 const SLICES_MOST: u32 = 1 << 16;
 
-/// The verdicts on all five rules; an error if the record does not say what the rules are.
+/// The verdicts on all five rules, and, where stewards share the slices, on what they promise; an error if the record does not say what the rules are.
 pub fn judge(events: &[Event]) -> Result<Vec<Verdict>, String> {
     let limits = limits(events).ok_or("the record has no limits, or some that cannot be")?;
-    Ok(vec![
+    let mut verdicts = vec![
         lost::judge(events, limits),
         twice::judge(events, limits),
         leaving::judge(events, limits),
         cold::judge(events, limits),
         channel::judge(events, limits),
-    ])
+    ];
+    if charge::is_shared(events) {
+        verdicts.extend(sharing::judge(events));
+    }
+    Ok(verdicts)
 }
 
 /// What the rules of a run are. A record that says what cannot be says nothing.
--- a/crates/railhub-rules/src/lost.rs
+++ b/crates/railhub-rules/src/lost.rs
@@ -1,4 +1,5 @@
 //! Rule 1: no joined proxy lacks a line for a slice beyond the limit while an open, warm host is listed ready.
+use crate::charge::InCharge;
 use crate::slow::Slowness;
 use crate::told::Told;
 use crate::Verdict;
@@ -6,9 +7,11 @@
 use railhub_record::{Event, Limits, Listed, What};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Since when a proxy has had a stream to a steward, by both.
+type Joined = BTreeMap<(u32, u32), f64>;
+
 #[derive(Default)]
 struct Proxy {
-    joined: Option<f64>,
     tables: BTreeMap<u32, BTreeMap<String, f64>>,
     shut: BTreeSet<String>,
     on_table: Option<u32>,
@@ -17,12 +20,13 @@
 }
 
 impl Proxy {
-    fn take_in(&mut self, at: f64, delta: &Delta, slices: u32) {
+    fn take_in(&mut self, at: f64, delta: &Delta, old: &BTreeSet<u32>, slices: u32) {
         if delta.reset {
             self.shut.clear();
         }
-        delta.cleared.iter().for_each(|slice| _ = self.tables.remove(slice));
-        for line in &delta.lines {
+        let fresh = |slice: &u32| !old.contains(slice);
+        delta.cleared.iter().filter(|slice| fresh(slice)).for_each(|slice| _ = self.tables.remove(slice));
+        for line in delta.lines.iter().filter(|line| fresh(&line.slice)) {
             let table = self.tables.entry(line.slice).or_default();
             if line.weight > 0.0 {
                 table.insert(line.host.clone(), line.weight);
@@ -74,6 +78,7 @@
     let slowness = Slowness::of(events);
     let mut proxies: BTreeMap<u32, Proxy> = BTreeMap::new();
     let mut told = Told::default();
+    let (mut joined, mut charge) = (Joined::new(), InCharge::default());
     // Since when a warm host has been listed without a break; it can lie ahead.
     let mut warm_since: Option<f64> = None;
     let last = events.last().map_or(0.0, |event| event.at);
@@ -90,73 +95,96 @@
                     _ => first.max(at),
                 });
                 if next.is_none() || before.is_some() && next != before {
-                    settle(&mut verdict, &mut proxies, warm_since, at, limits, &slowness);
+                    settle(
+                        &mut verdict,
+                        &mut proxies,
+                        &Facts { joined: &joined, charge: &charge, warm_since, limits, slowness: &slowness },
+                        at,
+                    );
                 }
                 warm_since = next;
             }
             Some(What::Stream(stream)) => {
                 let proxy = proxies.entry(stream.proxy).or_default();
+                let key = (stream.proxy, stream.steward);
                 if stream.up {
-                    proxy.joined = Some(at);
+                    joined.insert(key, at);
                     proxy.look(at, limits.slices);
                 } else {
-                    weigh(&mut verdict, stream.proxy, proxy, warm_since, at, limits, &slowness);
-                    proxy.joined = None;
+                    let facts =
+                        Facts { joined: &joined, charge: &charge, warm_since, limits, slowness: &slowness };
+                    facts.weigh(&mut verdict, stream.proxy, &proxy.empty, at);
+                    joined.remove(&key);
                 }
             }
             Some(What::Delta(received)) => {
+                let old = charge.hear(at, received);
                 let proxy = proxies.entry(received.proxy).or_default();
                 let before = proxy.empty.clone();
-                proxy.take_in(at, &received.delta, limits.slices);
-                let ended = before.into_iter().filter(|(slice, _)| !proxy.empty.contains_key(slice));
-                let ended = Proxy { joined: proxy.joined, empty: ended.collect(), ..Proxy::default() };
-                weigh(&mut verdict, received.proxy, &ended, warm_since, at, limits, &slowness);
+                proxy.take_in(at, &received.delta, &old, limits.slices);
+                let ended =
+                    before.into_iter().filter(|(slice, _)| !proxy.empty.contains_key(slice)).collect();
+                let facts =
+                    Facts { joined: &joined, charge: &charge, warm_since, limits, slowness: &slowness };
+                facts.weigh(&mut verdict, received.proxy, &ended, at);
             }
-            Some(What::StewardLife(life)) if !life.up => {
-                settle(&mut verdict, &mut proxies, warm_since, at, limits, &slowness);
-                told.forget();
-                warm_since = None;
+            Some(What::StewardLife(life)) => {
+                charge.live(at, life);
+                if charge.is_nobody() {
+                    settle(
+                        &mut verdict,
+                        &mut proxies,
+                        &Facts { joined: &joined, charge: &charge, warm_since, limits, slowness: &slowness },
+                        at,
+                    );
+                    told.forget();
+                    warm_since = None;
+                }
             }
             _ => {}
         }
     }
-    settle(&mut verdict, &mut proxies, warm_since, last, limits, &slowness);
+    settle(
+        &mut verdict,
+        &mut proxies,
+        &Facts { joined: &joined, charge: &charge, warm_since, limits, slowness: &slowness },
+        last,
+    );
     verdict
 }
 
-/// All spans without a line so far count; what goes on after starts anew.
-fn settle(
-    verdict: &mut Verdict,
-    proxies: &mut BTreeMap<u32, Proxy>,
+/// What a span without a line is weighed by.
+struct Facts<'a> {
+    joined: &'a Joined,
+    charge: &'a InCharge,
     warm_since: Option<f64>,
-    at: f64,
-    limits: &Limits,
-    slowness: &Slowness,
-) {
+    limits: &'a Limits,
+    slowness: &'a Slowness,
+}
+
+/// All spans without a line so far count; what goes on after starts anew.
+fn settle(verdict: &mut Verdict, proxies: &mut BTreeMap<u32, Proxy>, facts: &Facts, at: f64) {
     for (number, proxy) in proxies {
-        weigh(verdict, *number, proxy, warm_since, at, limits, slowness);
+        facts.weigh(verdict, *number, &proxy.empty, at);
         proxy.empty.values_mut().for_each(|since| *since = at);
     }
 }
 
-fn weigh(
-    verdict: &mut Verdict,
-    number: u32,
-    proxy: &Proxy,
-    warm_since: Option<f64>,
-    at: f64,
-    limits: &Limits,
-    slowness: &Slowness,
-) {
-    let (Some(joined), Some(warm)) = (proxy.joined, warm_since) else { return };
-    for (slice, since) in &proxy.empty {
-        let from = since.max(joined).max(warm);
-        let limit = limits.lost_for * slowness.between(from, at);
-        let used = (at - from) / limit;
-        if used > 0.0 {
-            verdict.look(at, used, || {
-                format!("proxy {number} had no line for slice {slice} for {:.2} s", at - from)
-            });
+impl Facts<'_> {
+    /// A proxy is joined for a slice while it has a stream to the steward that it goes by there, and that one can order.
+    fn weigh(&self, verdict: &mut Verdict, number: u32, empty: &BTreeMap<u32, f64>, at: f64) {
+        let Some(warm) = self.warm_since else { return };
+        for (slice, since) in empty {
+            let steward = self.charge.steward(number, *slice);
+            let Some(joined) = self.joined.get(&(number, steward)) else { continue };
+            let from = since.max(*joined).max(warm).max(self.charge.answers_since(number, *slice));
+            let limit = self.limits.lost_for * self.slowness.between(from, at);
+            let used = (at - from) / limit;
+            if used > 0.0 {
+                verdict.look(at, used, || {
+                    format!("proxy {number} had no line for slice {slice} for {:.2} s", at - from)
+                });
+            }
         }
     }
 }
--- a/crates/railhub-standin/src/held.rs
+++ b/crates/railhub-standin/src/held.rs
@@ -112,6 +112,75 @@
     }
 }
 
+/// What a proxy holds of several stewards: of each what it was told, and of each slice which of them has the word.
+/// Levels and shut-outs are of the steward in charge of the operation's slice.
+#[derive(Clone, Debug, Default)]
+pub struct HeldOfAll {
+    parts: Vec<Held>,
+    /// The newest epoch obeyed for a slice, and whose it is.
+    newest: BTreeMap<u32, (u64, usize)>,
+}
+
+impl HeldOfAll {
+    /// The tables that it starts with count as the first steward's.
+    pub fn standing(tables: BTreeMap<u32, Table>, stewards: usize) -> HeldOfAll {
+        let mut parts = vec![Held::default(); stewards.max(1)];
+        parts[0] = Held::standing(tables);
+        HeldOfAll { parts, newest: BTreeMap::new() }
+    }
+
+    pub fn of(&self, steward: usize) -> &Held {
+        &self.parts[steward]
+    }
+
+    pub fn of_mut(&mut self, steward: usize) -> &mut Held {
+        &mut self.parts[steward]
+    }
+
+    fn in_charge(&self, slice: u32) -> &Held {
+        &self.parts[self.newest.get(&slice).map_or(0, |newest| newest.1)]
+    }
+
+    /// Takes in all of a delta but for slices that a newer epoch has been obeyed for; which those are. Or nothing, and
+    /// says why.
+    pub fn take_in(&mut self, steward: usize, delta: &Delta, fenced: bool) -> Result<Vec<u32>, String> {
+        let epochs: BTreeMap<u32, u64> = delta.epochs.iter().map(|each| (each.slice, each.epoch)).collect();
+        let named = delta.lines.iter().map(|line| line.slice).chain(delta.cleared.iter().copied());
+        let is_old = |slice: &u32| {
+            let epoch = epochs.get(slice).copied().unwrap_or(0);
+            self.newest.get(slice).is_some_and(|newest| (epoch, steward) != *newest && epoch <= newest.0)
+        };
+        let old: BTreeSet<u32> = named.filter(|slice| fenced && is_old(slice)).collect();
+        if old.is_empty() {
+            self.parts[steward].take_in(delta)?;
+        } else {
+            let mut rest = delta.clone();
+            rest.lines.retain(|line| !old.contains(&line.slice));
+            rest.cleared.retain(|slice| !old.contains(slice));
+            self.parts[steward].take_in(&rest)?;
+        }
+        let obeyed = epochs.into_iter().filter(|(slice, _)| !old.contains(slice));
+        self.newest.extend(obeyed.map(|(slice, epoch)| (slice, (epoch, steward))));
+        Ok(old.into_iter().collect())
+    }
+
+    pub fn level(&self, slice: u32, class: u32) -> (f64, Again) {
+        self.in_charge(slice).level(class)
+    }
+
+    /// As [`Held::pick`], by the word of the steward in charge.
+    pub fn pick(
+        &self,
+        slice: u32,
+        tried: &[SocketAddr],
+        how: Pick,
+        chance: &mut impl Rng,
+        work: impl Fn(SocketAddr) -> usize,
+    ) -> Option<SocketAddr> {
+        self.in_charge(slice).pick(slice, tried, how, chance, work)
+    }
+}
+
 fn draw(lines: &[(SocketAddr, f64)], chance: &mut impl Rng) -> Option<SocketAddr> {
     let total: f64 = lines.iter().map(|line| line.1).sum();
     let mut left = chance.random::<f64>() * total;
@@ -149,6 +218,28 @@
         assert_eq!((held.version, held.tables()[&1].len()), (1, 1));
     }
 
+    #[test]
+    fn what_comes_under_an_older_epoch_is_left_out_alone() {
+        use railhub_proto::SliceEpoch;
+        let under = |epoch: u64, lines: Vec<TableLine>| {
+            let slices: BTreeSet<u32> = lines.iter().map(|line| line.slice).collect();
+            let epochs = slices.iter().map(|slice| SliceEpoch { slice: *slice, epoch }).collect();
+            Delta { cleared: slices.into_iter().collect(), lines, epochs, ..Delta::default() }
+        };
+        let mut chance = ChaCha8Rng::seed_from_u64(1);
+        let mut held = HeldOfAll::standing(BTreeMap::from([(1, vec![(host(9), 1.0)])]), 2);
+        assert_eq!(held.pick(1, &[], Pick::Weighted, &mut chance, |_| 0), Some(host(9)));
+        assert_eq!(held.take_in(0, &under(1, vec![line(1, 1.0)]), true), Ok(vec![]));
+        assert_eq!(held.take_in(1, &under(2, vec![line(2, 1.0)]), true), Ok(vec![]));
+        // The former steward wakes: its word on slice 1 is left out, that on another is taken.
+        let mut late = under(1, vec![line(3, 1.0)]);
+        late.lines.push(TableLine { slice: 2, ..line(4, 1.0) });
+        late.epochs.push(SliceEpoch { slice: 2, epoch: 7 });
+        assert_eq!(held.take_in(0, &late, true), Ok(vec![1]));
+        assert_eq!(held.pick(1, &[], Pick::Weighted, &mut chance, |_| 0), Some(host(2)));
+        assert_eq!(held.pick(2, &[], Pick::Weighted, &mut chance, |_| 0), Some(host(4)));
+    }
+
     #[test]
     fn picks_go_by_weight_and_never_to_a_host_that_is_shut_out() {
         let mut held = Held::default();
--- a/crates/railhub-standin/src/proxy.rs
+++ b/crates/railhub-standin/src/proxy.rs
@@ -1,7 +1,7 @@
 //! A plain proxy: it looks up the table, checks the level, picks a line that is not shut out, and sends.
 use crate::channel::Channel;
 use crate::client::Drawn;
-use crate::held::{Held, Pick};
+use crate::held::{HeldOfAll, Pick};
 use crate::lane::{CallEnd, Lane};
 use crate::links::Links;
 use crate::sums::Totals;
@@ -53,14 +53,16 @@
     IgnoresLeaving,
     FloodsColdHosts,
     GetsTooManyMessages,
+    /// Where stewards share: it obeys whatever comes.
+    ObeysOldEpochs,
 }
 
 /// What the stand-ins of one fleet share.
 #[derive(Clone)]
 pub struct Surroundings {
     pub classes: Arc<Vec<ClassFacts>>,
-    /// Where the steward is now, if there is one.
-    pub steward: Arc<Mutex<Option<SocketAddr>>>,
+    /// Where each steward is now, if it is there.
+    pub stewards: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     pub zones: Arc<Mutex<BTreeMap<SocketAddr, u32>>>,
     pub links: Links,
     pub channel: Channel,
@@ -89,11 +91,12 @@
 pub struct Proxy {
     pub facts: ProxyFacts,
     around: Surroundings,
-    held: Mutex<Held>,
+    held: Mutex<HeldOfAll>,
     lanes: Mutex<BTreeMap<SocketAddr, Arc<Lane>>>,
     totals: Mutex<Totals>,
     chance: Mutex<ChaCha8Rng>,
-    stream: Mutex<Option<Arc<Mutex<FrameWriter>>>>,
+    /// To each steward that it reaches.
+    streams: Mutex<BTreeMap<usize, Arc<Mutex<FrameWriter>>>>,
     refuse_next: AtomicBool,
     sabotage: Option<Sabotage>,
     left: Mutex<BTreeSet<SocketAddr>>,
@@ -107,13 +110,14 @@
         sabotage: Option<Sabotage>,
     ) -> Arc<Proxy> {
         let chance = ChaCha8Rng::seed_from_u64(facts.seed);
+        let stewards = around.stewards.lock().expect("no holder panics").len();
         Arc::new(Proxy {
             around,
-            held: Mutex::new(Held::standing(standing)),
+            held: Mutex::new(HeldOfAll::standing(standing, stewards)),
             lanes: Mutex::new(BTreeMap::new()),
             totals: Mutex::new(Totals::new(now())),
             chance: Mutex::new(chance),
-            stream: Mutex::new(None),
+            streams: Mutex::default(),
             refuse_next: AtomicBool::new(false),
             sabotage,
             left: Mutex::new(BTreeSet::new()),
@@ -121,14 +125,10 @@
         })
     }
 
-    pub fn held(&self) -> Held {
-        self.held.lock().expect("no holder panics").clone()
-    }
-
-    /// The stream to the steward breaks; it dials again.
+    /// The streams to its stewards break; it dials again.
     pub fn break_stream(&self) {
-        let stream = self.stream.lock().expect("no holder panics").take();
-        stream.into_iter().for_each(|writer| writer.lock().expect("no holder panics").close());
+        let streams = std::mem::take(&mut *self.streams.lock().expect("no holder panics"));
+        streams.into_values().for_each(|writer| writer.lock().expect("no holder panics").close());
     }
 
     /// The next delta is refused, whatever it says.
@@ -136,10 +136,17 @@
         self.refuse_next.store(true, Ordering::Relaxed);
     }
 
-    /// Connects to the steward and stays connected; sends sums.
-    pub fn follow_steward(self: &Arc<Proxy>) -> [Task; 2] {
-        let (following, reporting) = (self.clone(), self.clone());
-        [Task::go(move || following.keep_stream()), Task::go(move || reporting.keep_reporting())]
+    /// Connects to each steward and stays connected; sends sums to all of them.
+    pub fn follow_stewards(self: &Arc<Proxy>) -> Vec<Task> {
+        let stewards = self.around.stewards.lock().expect("no holder panics").len();
+        let follow = |steward| {
+            let following = self.clone();
+            Task::go(move || following.keep_stream(steward))
+        };
+        let mut tasks: Vec<Task> = (0..stewards).map(follow).collect();
+        let reporting = self.clone();
+        tasks.push(Task::go(move || reporting.keep_reporting()));
+        tasks
     }
 
     /// Ends its connections to hosts.
@@ -151,17 +158,17 @@
         self.chance.lock().expect("no holder panics").random()
     }
 
-    fn keep_stream(self: Arc<Proxy>) {
+    fn keep_stream(self: Arc<Proxy>, steward: usize) {
         let process = now().to_bits() ^ u64::from(self.facts.number);
         loop {
-            let address = *self.around.steward.lock().expect("no holder panics");
+            let address = self.around.stewards.lock().expect("no holder panics")[steward];
             let Some(address) = address else {
                 may::coroutine::sleep(seconds(STEWARD_LOOK));
                 continue;
             };
             if let Ok(stream) = connect(address, seconds(1.0)) {
                 if let Ok((reader, writer)) = split(stream, FROM_STEWARD_LIMIT) {
-                    self.one_stream(reader, writer, process);
+                    self.one_stream(steward, reader, writer, process);
                 }
             }
             let pause = self.random() * self.facts.redial;
@@ -169,9 +176,10 @@
         }
     }
 
-    fn one_stream(&self, mut reader: FrameReader, mut writer: FrameWriter, process: u64) {
+    fn one_stream(&self, steward: usize, mut reader: FrameReader, mut writer: FrameWriter, process: u64) {
         let (incarnation, version) = {
             let held = self.held.lock().expect("no holder panics");
+            let held = held.of(steward);
             (held.incarnation, if held.has_gap { 0 } else { held.version })
         };
         let (proxy, zone) = (self.facts.number, self.facts.zone);
@@ -181,12 +189,13 @@
             return;
         }
         let writer = Arc::new(Mutex::new(writer));
-        *self.stream.lock().expect("no holder panics") = Some(writer.clone());
-        self.around.recorder.note(now(), What::Stream(Stream { proxy, up: true }));
+        self.streams.lock().expect("no holder panics").insert(steward, writer.clone());
+        let stream = |up| What::Stream(Stream { proxy, up, steward: steward as u32 });
+        self.around.recorder.note(now(), stream(true));
         while let Ok(FromSteward { word: Some(word) }) = reader.receive() {
             match word {
                 from_steward::Word::Delta(delta) => {
-                    if self.receive(delta, &writer).is_err() {
+                    if self.receive(steward, delta, &writer).is_err() {
                         break;
                     }
                 }
@@ -196,28 +205,31 @@
                 }
             }
         }
-        self.around.recorder.note(now(), What::Stream(Stream { proxy, up: false }));
-        self.stream.lock().expect("no holder panics").take();
+        self.around.recorder.note(now(), stream(false));
+        self.streams.lock().expect("no holder panics").remove(&steward);
         writer.lock().expect("no holder panics").close();
     }
 
-    fn receive(&self, delta: Delta, writer: &Mutex<FrameWriter>) -> std::io::Result<()> {
+    fn receive(&self, steward: usize, delta: Delta, writer: &Mutex<FrameWriter>) -> std::io::Result<()> {
         self.around.channel.pass(delta.cost());
-        let delta = self.tamper(delta);
+        let delta = self.tamper(steward, delta);
         let (proxy, nonce) = (self.facts.number, delta.nonce);
         let recorder = &self.around.recorder;
-        let received = Received { proxy, delta: delta.clone() };
+        let received = Received { proxy, delta: delta.clone(), steward: steward as u32 };
         recorder.note(now(), What::Delta(received));
         let taken = if self.refuse_next.swap(false, Ordering::Relaxed) {
             Err("told to refuse".to_owned())
         } else {
-            self.held.lock().expect("no holder panics").take_in(&delta)
+            let fenced = self.sabotage != Some(Sabotage::ObeysOldEpochs);
+            self.held.lock().expect("no holder panics").take_in(steward, &delta, fenced)
         };
-        recorder.note(now(), What::Answered(Answered { proxy, nonce, refused: taken.is_err() }));
+        let (refused, left_out) = (taken.is_err(), taken.clone().unwrap_or_default());
+        let answered = Answered { proxy, nonce, refused, steward: steward as u32, left_out };
+        recorder.note(now(), What::Answered(answered));
         let word = match taken {
-            Ok(()) => from_proxy::Word::Ack(Ack { nonce }),
+            Ok(_) => from_proxy::Word::Ack(Ack { nonce }),
             Err(reason) => {
-                self.held.lock().expect("no holder panics").has_gap = true;
+                self.held.lock().expect("no holder panics").of_mut(steward).has_gap = true;
                 from_proxy::Word::Refusal(Refusal { nonce, reason })
             }
         };
@@ -225,14 +237,15 @@
     }
 
     /// What a broken link or a broken proxy makes of a delta; nothing on an honest day.
-    fn tamper(&self, mut delta: Delta) -> Delta {
+    fn tamper(&self, steward: usize, mut delta: Delta) -> Delta {
         match self.sabotage {
             Some(Sabotage::LosesLines) => delta.lines.retain(|line| line.slice % 8 != 3),
             Some(Sabotage::GetsTooManyMessages) => {
                 for _ in 0..6 {
                     let (proxy, nonce) = (self.facts.number, delta.nonce);
                     let again = Delta { lines: Vec::new(), cleared: Vec::new(), ..delta.clone() };
-                    let again = Received { proxy, delta: Delta { nonce, reset: false, ..again } };
+                    let delta = Delta { nonce, reset: false, ..again };
+                    let again = Received { proxy, delta, steward: steward as u32 };
                     self.around.recorder.note(now(), What::Delta(again));
                 }
             }
@@ -255,9 +268,9 @@
             let proxy = self.clone();
             go(move || {
                 may::coroutine::sleep(seconds(proxy.facts.report_late + extra));
-                let stream = proxy.stream.lock().expect("no holder panics").clone();
-                if let Some(writer) = stream {
-                    let sums = FromProxy { word: Some(from_proxy::Word::Sums(sums)) };
+                let streams = proxy.streams.lock().expect("no holder panics").clone();
+                let sums = FromProxy { word: Some(from_proxy::Word::Sums(sums)) };
+                for writer in streams.into_values() {
                     let _ = writer.lock().expect("no holder panics").send(&sums);
                 }
             });
@@ -269,7 +282,7 @@
         let Coming { drawn, wait, .. } = coming;
         let until = now() + wait;
         self.totals.lock().expect("no holder panics").came(drawn.slice, drawn.class);
-        let (share, again) = self.held.lock().expect("no holder panics").level(drawn.class);
+        let (share, again) = self.held.lock().expect("no holder panics").level(drawn.slice, drawn.class);
         if share < 1.0 && self.random() >= share {
             return ProxyEnd::Refused;
         }
--- a/crates/railhub-standin/src/roster.rs
+++ b/crates/railhub-standin/src/roster.rs
@@ -82,18 +82,33 @@
 pub struct Roster {
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    _door: Listener,
+    recorder: Recorder,
+    doors: Mutex<Vec<Listener>>,
 }
 
 impl Roster {
     pub fn open(recorder: Recorder) -> io::Result<Roster> {
-        let state = Arc::new(Mutex::new(State::default()));
-        let shared = state.clone();
+        let state = Arc::default();
+        let mut roster = Roster {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            state,
+            recorder,
+            doors: Mutex::default(),
+        };
+        roster.address = roster.door(0)?;
+        Ok(roster)
+    }
+
+    /// A door of its own for one of several stewards, so that the record knows who was told.
+    pub fn door(&self, steward: u32) -> io::Result<SocketAddr> {
+        let (state, recorder) = (self.state.clone(), self.recorder.clone());
         let door = Listener::open(SocketAddr::from(([127, 0, 0, 1], 0)), move |stream, _| {
-            let (state, recorder) = (shared.clone(), recorder.clone());
-            go(move || serve(stream, &state, &recorder));
+            let (state, recorder) = (state.clone(), recorder.clone());
+            go(move || serve(stream, steward, &state, &recorder));
         })?;
-        Ok(Roster { address: door.address, state, _door: door })
+        let address = door.address;
+        self.doors.lock().expect("no holder panics").push(door);
+        Ok(address)
     }
 
     fn change(&self, act: impl FnOnce(&mut State)) {
@@ -147,7 +162,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, state: &Mutex<State>, recorder: &Recorder) {
+fn serve(mut stream: TcpStream, steward: u32, state: &Mutex<State>, recorder: &Recorder) {
     let mut read = Vec::new();
     while let Ok(Some(request)) = http::read_request(&mut stream, &mut read) {
         let after = http::query(&request.path, "after").unwrap_or(0);
@@ -164,7 +179,7 @@
             may::coroutine::sleep(seconds(LOOK));
         };
         if page.version != after {
-            recorder.note(now(), What::Roster(recorded(&page)));
+            recorder.note(now(), What::Roster(recorded(&page, steward)));
         }
         if http::answer_json(&mut stream, &page).is_err() {
             return;
@@ -172,7 +187,7 @@
     }
 }
 
-fn recorded(page: &Page) -> railhub_record::Roster {
+fn recorded(page: &Page, steward: u32) -> railhub_record::Roster {
     let entries = page.hosts.iter().map(|entry| Entry {
         host: entry.host.to_string(),
         listed: match entry.phase {
@@ -183,5 +198,5 @@
         .into(),
         started: entry.started,
     });
-    railhub_record::Roster { whole: page.whole, entries: entries.collect() }
+    railhub_record::Roster { whole: page.whole, entries: entries.collect(), steward }
 }
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -3,7 +3,11 @@
 //! The way of one datagram: the socket gives it; [`railhub_membership::packet`] drops and counts what is spoilt,
 //! foreign, of another version or too long; the office hears the message and says what to send; each letter goes to
 //! the address on its receiver's card. Whatever goes wrong here, the steward serves on: nothing else waits for it.
+use crate::inbox::{Inbox, Word};
 use crate::kernel::Figures;
+use crate::leases::LeaseBook;
+use crate::store::{StoreWriter, StoredTable};
+use railhub::SliceId;
 use railhub_ini::{Complaint, Sheet};
 use railhub_membership::entry::{Card, Load};
 use railhub_membership::office::{Acts, Office, Seat};
@@ -27,11 +31,36 @@
 const LOAD_EVERY: f64 = 1.0;
 /// Looks at the view that are answered in a second: further ones are dropped and counted.
 const LOOKS_A_SECOND: u32 = 400;
+/// Seconds after a start before anything is asked of the store: who else is there is learnt first.
+const SETTLE: f64 = 1.0;
+/// Seconds within which a steward that is told to go hands its slices over: at the pace of handovers some eighty.
+const LEAVES_WITHIN: f64 = 2.0;
+/// Seconds between looks for an answer of the store while one is due.
+const ANSWER_LOOK: f64 = 0.004;
 /// Addresses to join by.
 const SEEDS_MOST: usize = 16;
 /// Version of the program, as the others see it.
 const PROGRAM: &str = env!("CARGO_PKG_VERSION");
 
+/// A clock that may run fast or slow, and jump once. Leases, membership and what is written by them go by it; nothing
+/// else in a steward does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeaseClock {
+    pub speed: f64,
+    /// Seconds after the start, and seconds that it jumps by then; 0: it does not.
+    pub jumps_after: f64,
+    pub jumps_by: f64,
+    pub began: f64,
+}
+
+impl LeaseClock {
+    pub fn now(&self) -> f64 {
+        let passed = now() - self.began;
+        let jump = if passed >= self.jumps_after { self.jumps_by } else { 0.0 };
+        self.began + passed * self.speed + jump
+    }
+}
+
 /// What the file says of the fleet.
 #[derive(Clone, Debug)]
 pub struct FleetTerms {
@@ -43,8 +72,13 @@
     pub advertise: Option<SocketAddr>,
     pub join: Vec<SocketAddr>,
     pub forget_after: f64,
+    /// The slices are shared: leased from the store, each for so many seconds.
+    pub share: bool,
+    pub lease: f64,
     /// Number of the process, where the clock should not give it: for tests of clocks that were set back.
     pub process: Option<u64>,
+    /// The clock that leases are counted on, for tests: machines' clocks run apart and jump.
+    pub clock: LeaseClock,
     /// A defence that is left out: for tests of the judge alone.
     pub without: Option<Defence>,
     /// Digest of the file, but for what each steward has of its own.
@@ -83,6 +117,7 @@
             ("rumour bound", Some(Defence::RumourBound)),
             ("own trouble", Some(Defence::OwnTrouble)),
             ("additions", Some(Defence::Additions)),
+            ("lease end", Some(Defence::LeaseEnd)),
         ];
         let own = |section: &str, key: &str| {
             section == "fleet" && key != "installation"
@@ -95,6 +130,14 @@
             advertise: fleet.text("advertise").map(|_| fleet.need("advertise")).transpose()?,
             join,
             forget_after: fleet.within("forget_after", 600.0, 1.0, 1e6)?,
+            share: fleet.flag("share", false)?,
+            lease: fleet.within("lease", 3.0, 0.5, 60.0)?,
+            clock: LeaseClock {
+                speed: fleet.within("clock_speed", 1.0, 0.5, 2.0)?,
+                jumps_after: fleet.within("clock_jumps_after", 0.0, 0.0, 1e6)?,
+                jumps_by: fleet.within("clock_jumps_by", 0.0, -1e4, 1e4)?,
+                began: now(),
+            },
             process: fleet.text("process").map(|_| fleet.need("process")).transpose()?,
             without: fleet.choice("without", "nothing", &defences)?,
             settings: sheet.digest(own),
@@ -113,6 +156,17 @@
     pub dropped: Drops,
     pub looks_dropped: u64,
     pub yielded: bool,
+    /// Slices in charge, and tables that the store did not take, where slices are shared.
+    pub charges: usize,
+    pub tables_refused: u64,
+}
+
+/// What a steward that shares slices works with.
+pub struct Shares {
+    pub store: Arc<StoreWriter>,
+    pub inbox: Arc<Inbox>,
+    pub leases: Arc<LeaseBook>,
+    pub slices: u16,
 }
 
 /// The service; dropping it ends the thread without a word to the others, as a crash would.
@@ -128,13 +182,24 @@
 impl FleetService {
     /// # Errors
     /// The address cannot be listened on.
-    pub fn start(terms: &FleetTerms, steward: Arc<Mutex<Figures>>, slices: u16) -> io::Result<FleetService> {
+    pub fn start(
+        terms: &FleetTerms,
+        steward: Arc<Mutex<Figures>>,
+        shares: Option<Shares>,
+        slices: u16,
+    ) -> io::Result<FleetService> {
         let socket = UdpSocket::bind(terms.listen)?;
         let address = socket.local_addr()?;
         let (ends, leaves) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let shown = Arc::new(Mutex::new(FleetFigures::default()));
         let mut desk = Desk {
-            office: Office::new(&seat(terms, address), now()),
+            office: Office::new(
+                &seat(terms, address, &BTreeMap::from([(terms.id, 1.0)]), &shares),
+                terms.clock.now(),
+            ),
+            clock: terms.clock,
+            shares,
+            overruns: terms.without == Some(Defence::LeaseEnd),
             socket,
             installation: terms.installation.clone(),
             figures: FleetFigures::default(),
@@ -142,7 +207,7 @@
             steward,
             slices,
             load_at: 0.0,
-            cpu: (now(), cpu_seconds()),
+            cpu: (terms.clock.now(), cpu_seconds()),
             looks: (0.0, 0),
         };
         tracing::info!(id = terms.id.0, process = desk.members().life().process, %address, "the steward is in the fleet");
@@ -177,8 +242,12 @@
     }
 }
 
-fn seat(terms: &FleetTerms, address: SocketAddr) -> Seat<'static> {
-    static ALONE: BTreeMap<StewardId, f64> = BTreeMap::new();
+fn seat<'a>(
+    terms: &FleetTerms,
+    address: SocketAddr,
+    weights: &'a BTreeMap<StewardId, f64>,
+    shares: &Option<Shares>,
+) -> Seat<'a> {
     // Microseconds since 1970: higher than any earlier process of ours, unless the clock was set back, which the
     // others tell us then.
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -192,7 +261,9 @@
     };
     let manners =
         Manners { seeds: terms.join.clone(), forget_after: terms.forget_after, without: terms.without };
-    Seat { me: terms.id, process, weights: &ALONE, card, manners, slices: 0, span: 3.0, seed: process }
+    let slices = shares.as_ref().map_or(0, |shares| shares.slices);
+    let (me, span, settle) = (terms.id, terms.lease, SETTLE);
+    Seat { me, process, weights, card, manners, slices, span, settle, seed: process }
 }
 
 /// Seconds of processor time that this process took.
@@ -209,6 +280,10 @@
 
 struct Desk {
     office: Office,
+    clock: LeaseClock,
+    shares: Option<Shares>,
+    /// For tests of the judge alone: slices whose leases are over are kept.
+    overruns: bool,
     socket: UdpSocket,
     installation: String,
     figures: FleetFigures,
@@ -233,33 +308,52 @@
         // must not hold up turns.
         let mut due = 0.0;
         while !ends.load(Ordering::Acquire) {
-            let at = now();
+            self.take_answer();
+            let at = self.clock.now();
             if at >= due {
                 self.turn(at);
                 due = self.office.next_at(at);
                 continue;
             }
-            let wait = seconds((due - at).min(LONGEST_SLEEP)).max(std::time::Duration::from_micros(100));
+            let longest = if self.office.is_asking() { ANSWER_LOOK } else { LONGEST_SLEEP };
+            let wait = seconds((due - at).min(longest)).max(std::time::Duration::from_micros(100));
             if self.socket.set_read_timeout(Some(wait)).is_err() {
                 std::thread::sleep(wait);
             }
             if let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
                 self.take(&bytes[..length], from);
-                due = due.min(self.office.next_at(now()));
+                due = due.min(self.office.next_at(self.clock.now()));
             }
         }
         if leaves.load(Ordering::Acquire) {
-            let acts = self.office.leave(now());
+            self.hand_over();
+            let acts = self.office.leave(self.clock.now());
             self.carry_out(acts);
         }
     }
 
+    /// Gives its slices to the others before it goes, as far as the time for it reaches; the rest are taken when their
+    /// leases end.
+    fn hand_over(&mut self) {
+        if self.shares.is_none() {
+            return;
+        }
+        self.office.drain();
+        let until = now() + LEAVES_WITHIN;
+        while now() < until && (!self.office.is_drained() || self.office.is_asking()) {
+            self.take_answer();
+            self.turn(self.clock.now());
+            std::thread::sleep(seconds(ANSWER_LOOK));
+        }
+    }
+
     fn turn(&mut self, at: f64) {
         if at - self.load_at >= LOAD_EVERY {
             self.load_at = at;
             self.look_at_load(at);
         }
         let acts = self.office.tick(at);
+        self.pass_on(&acts, Vec::new());
         self.carry_out(acts);
     }
 
@@ -267,27 +361,72 @@
         let (since, before) = std::mem::replace(&mut self.cpu, (at, cpu_seconds()));
         let busy = ((self.cpu.1 - before) / (at - since).max(0.001)) as f32;
         let proxies = self.steward.lock().expect("no holder panics").joined as u32;
-        self.office.set_load(Load { slices: self.slices.into(), proxies, busy });
+        let held = self.shares.is_some().then(|| self.office.leases().count() as u32);
+        self.office.set_load(Load { slices: held.unwrap_or(self.slices.into()), proxies, busy });
+        self.figures.charges = held.unwrap_or(0) as usize;
+        self.figures.tables_refused = self.shares.as_ref().map_or(0, |shares| shares.store.refused());
         self.figures.alive = self.members().alive();
         self.figures.sent = self.members().sent();
         self.figures.yielded = self.members().has_yielded();
         *self.shown.lock().expect("no holder panics") = self.figures.clone();
     }
 
+    /// What the store has granted and refused, if it has answered.
+    fn take_answer(&mut self) {
+        let Some(leased) = self.shares.as_ref().and_then(|shares| shares.store.answer()) else { return };
+        let acts = self.office.store_says(self.clock.now(), &leased.says);
+        self.pass_on(&acts, leased.tables);
+        self.carry_out(acts);
+    }
+
+    /// Slices that were gained, with their tables, and lost. The book of leases goes first: what is written from now on
+    /// must not rest on one that is gone.
+    fn pass_on(&self, acts: &Acts, tables: Vec<StoredTable>) {
+        let Some(shares) = &self.shares else { return };
+        shares.leases.note(self.office.leases());
+        let slices = |ids: &[u16]| match self.overruns {
+            true => Vec::new(),
+            false => ids.iter().map(|slice| SliceId(*slice)).collect(),
+        };
+        let (lost, lapsed): (Vec<SliceId>, Vec<SliceId>) = (slices(&acts.lost), slices(&acts.lapsed));
+        let mut tables: BTreeMap<u16, StoredTable> =
+            tables.into_iter().map(|table| (table.slice, table)).collect();
+        let gained = acts.gained.iter().map(|(slice, epoch)| {
+            let table = tables.remove(slice);
+            // The store gives each with its table; without one it is filled as a slice that has none.
+            let table = table.unwrap_or(StoredTable { slice: *slice, epoch: epoch.0, lines: Vec::new() });
+            (table.charge(), epoch.0)
+        });
+        let gained: Vec<_> = gained.collect();
+        if !gained.is_empty() || !lost.is_empty() || !lapsed.is_empty() {
+            shares.inbox.tell(Word::Grants { gained, lost, lapsed });
+        }
+    }
+
     fn take(&mut self, bytes: &[u8], from: SocketAddr) {
         match packet::decode(&self.installation, bytes) {
             Ok(Packet::Words(message)) => {
                 self.figures.heard += 1;
-                let acts = self.office.hear(now(), &message);
+                let acts = self.office.hear(self.clock.now(), &message);
                 self.carry_out(acts);
             }
             Ok(Packet::Look { nonce, from: first }) => self.show(nonce, first, from),
             Ok(Packet::View(_)) => {}
+            Ok(Packet::Drain { steward, process }) => {
+                let is_us = steward == self.members().me() && process == self.members().life().process;
+                if is_us && !self.office.drains() {
+                    tracing::info!("the steward is told to hand its slices over");
+                    self.office.drain();
+                }
+            }
             Err(fault) => self.figures.dropped.count(fault),
         }
     }
 
     fn carry_out(&mut self, acts: Acts) {
+        if let (Some(ask), Some(shares)) = (acts.ask, &self.shares) {
+            shares.store.ask(ask);
+        }
         for (to, message) in acts.mail {
             let address = match to {
                 To::Steward(id) => self.members().address(id),
@@ -311,7 +450,7 @@
     }
 
     fn show(&mut self, nonce: u64, first: StewardId, to: SocketAddr) {
-        let at = now();
+        let at = self.clock.now();
         if at - self.looks.0 >= 1.0 {
             self.looks = (at, 0);
         }
--- a/crates/railhub-steward/src/inbox.rs
+++ b/crates/railhub-steward/src/inbox.rs
@@ -1,5 +1,5 @@
 //! What the owner is told.
-use railhub::{Charge, HostList, ProbeResult, ProxyId, ZoneId};
+use railhub::{Charge, HostList, ProbeResult, ProxyId, SliceId, ZoneId};
 use railhub_proto::{Subscribe, Sums};
 use std::sync::Arc;
 
@@ -16,11 +16,35 @@
 pub enum Word {
     List(HostList),
     Charges(Vec<Charge>),
+    /// Where stewards share: slices with the epochs that they came under, those that are another's, and those whose
+    /// leases are over.
+    Grants {
+        gained: Vec<(Charge, u64)>,
+        lost: Vec<SliceId>,
+        lapsed: Vec<SliceId>,
+    },
     Probe(ProbeResult),
-    Joins { stream: StreamId, subscribe: Subscribe, door: Arc<Door> },
-    Leaves { stream: StreamId, proxy: ProxyId, why: String },
-    Ack { stream: StreamId, proxy: ProxyId, nonce: u64 },
-    Refusal { stream: StreamId, proxy: ProxyId, nonce: u64, reason: String },
+    Joins {
+        stream: StreamId,
+        subscribe: Subscribe,
+        door: Arc<Door>,
+    },
+    Leaves {
+        stream: StreamId,
+        proxy: ProxyId,
+        why: String,
+    },
+    Ack {
+        stream: StreamId,
+        proxy: ProxyId,
+        nonce: u64,
+    },
+    Refusal {
+        stream: StreamId,
+        proxy: ProxyId,
+        nonce: u64,
+        reason: String,
+    },
     Stop,
 }
 
--- a/crates/railhub-steward/src/installation.rs
+++ b/crates/railhub-steward/src/installation.rs
@@ -32,6 +32,11 @@
 }
 
 impl Installation {
+    /// Whether stewards share the slices: they are leased from the store, and come and go.
+    pub fn shares(&self) -> bool {
+        self.fleet.as_ref().is_some_and(|fleet| fleet.share)
+    }
+
     pub fn open(path: &Path) -> Result<Installation, Complaint> {
         Installation::read(&Sheet::open(path)?)
     }
@@ -70,6 +75,9 @@
         if (installation.terms.slices > 0) != installation.store.is_some() {
             return Err(steward.wrong("store", "is needed where there are slices, and only there"));
         }
+        if installation.shares() && installation.terms.slices == 0 {
+            return Err(sheet.section("fleet").wrong("share", "needs slices, and a store that leases them"));
+        }
         steward.done()?;
         limits.done()?;
         Ok(installation)
--- a/crates/railhub-steward/src/kernel.rs
+++ b/crates/railhub-steward/src/kernel.rs
@@ -9,6 +9,7 @@
 use crate::intake::Intake;
 use crate::outbox::Publication;
 use crate::pace::may_join;
+use crate::standing::Standing;
 use crate::tables::{Change, Tables};
 use hdrhistogram::Histogram;
 use railhub::{
@@ -38,7 +39,8 @@
 /// What the kernel asks of the world besides its proxies, and tells it.
 pub trait Surroundings {
     fn probe(&mut self, host: HostId);
-    fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>);
+    /// `epoch`: under which the slice is in charge; 0 where this steward is alone.
+    fn store(&mut self, slice: SliceId, epoch: u64, lines: Vec<(HostId, f64)>);
     /// A decision with its cause.
     fn decided(&mut self, cause: &str);
     fn published(&mut self, change: &Change, version: u64);
@@ -99,6 +101,13 @@
     round: Round,
     listed: bool,
     charged: bool,
+    /// Stewards share the slices: they come and go, each under an epoch.
+    shares: bool,
+    /// Slices that have come into charge and that proxies have not been told of.
+    opened: BTreeSet<SliceId>,
+    /// Slices whose leases are over, and whom the decisions have shut out.
+    standing: Standing,
+    shut_out: BTreeSet<HostId>,
     looked_at: Seconds,
     /// Proxies that owe a word on something, and when the oldest of it was ordered.
     owing: BTreeSet<ProxyId>,
@@ -123,9 +132,15 @@
         now: Seconds,
     ) -> Kernel<G> {
         let times = || Histogram::new(3).expect("three digits are allowed");
+        let shares = installation.shares();
         Kernel {
             brain,
-            charged: installation.terms.slices == 0,
+            // Where stewards share, one that is in charge of nothing yet serves its proxies all the same.
+            charged: installation.terms.slices == 0 || shares,
+            shares,
+            opened: BTreeSet::new(),
+            standing: Standing::default(),
+            shut_out: BTreeSet::new(),
             tables: Tables::default(),
             incarnation,
             members: BTreeMap::new(),
@@ -148,6 +163,9 @@
 
     pub fn hear_list(&mut self, list: HostList) {
         self.listed = true;
+        if self.shares {
+            self.standing.hear(&list);
+        }
         self.round.lists.push(list);
     }
 
@@ -157,6 +175,27 @@
         self.round.charges.extend(charges);
     }
 
+    /// Slices come into charge under epochs, with their tables as the store has them, and go. What has gone is not
+    /// ordered any more; proxies keep what they hold until the next one in charge tells them.
+    pub fn hear_grants(&mut self, gained: Vec<(Charge, u64)>, lost: &[SliceId], lapsed: &[SliceId]) {
+        for slice in lapsed {
+            let hosts = self.tables.lines_of(*slice).into_iter().map(|line| line.0);
+            self.standing.stands(*slice, hosts.collect());
+        }
+        for slice in lost.iter().chain(lapsed) {
+            self.tables.give_up(*slice);
+            self.opened.remove(slice);
+            self.round.charges.push(Charge { slice: *slice, given: false, lines: Vec::new() });
+        }
+        lost.iter().for_each(|slice| self.standing.is_settled(*slice));
+        for (charge, epoch) in gained {
+            self.standing.is_settled(charge.slice);
+            self.tables.take_charge(charge.slice, epoch, &charge.lines);
+            self.opened.insert(charge.slice);
+            self.round.charges.push(charge);
+        }
+    }
+
     pub fn hear_probe(&mut self, result: ProbeResult) {
         self.round.probes.push(result);
     }
@@ -287,7 +326,10 @@
             let ours = subscribe.incarnation == self.incarnation;
             let lacking = ours.then(|| self.tables.since(subscribe.version)).flatten();
             let change = lacking.unwrap_or_else(|| self.tables.whole());
-            let change = if no_slices { change.without_lines() } else { change };
+            let mut change = if no_slices { change.without_lines() } else { change };
+            if self.shares {
+                self.tables.stamp(&mut change);
+            }
             let cost = change.cost() as f64 + message_cost;
             if !may_join(waiting, cost, backlog) {
                 return;
@@ -367,7 +409,14 @@
         self.carry_out(draft, at, around);
     }
 
-    fn carry_out(&mut self, draft: Draft, at: Seconds, around: &mut impl Surroundings) {
+    fn carry_out(&mut self, mut draft: Draft, at: Seconds, around: &mut impl Surroundings) {
+        if self.shares {
+            let mut change = self.tables.opening(&std::mem::take(&mut self.opened));
+            change.fold(&draft.change);
+            self.tables.stamp(&mut change);
+            self.stand(&mut change);
+            draft.change = change;
+        }
         self.timers.extend(draft.wakes.iter().map(|(after, timer)| (at + after, *timer)));
         draft.probes.iter().for_each(|host| around.probe(*host));
         if !draft.change.is_empty() || draft.mark.is_some() {
@@ -385,6 +434,19 @@
         }
     }
 
+    /// Hosts that must be left though nothing may be ordered.
+    fn stand(&mut self, change: &mut Change) {
+        for (host, out) in &change.shut {
+            match out {
+                true => _ = self.shut_out.insert(*host),
+                false => _ = self.shut_out.remove(host),
+            }
+        }
+        let words = self.standing.words(self.installation.terms.dropped_may_stay, &self.shut_out);
+        change.shut.retain(|host, out| *out || !self.standing.holds(host));
+        change.shut.extend(words);
+    }
+
     fn publish(
         &mut self,
         change: &Arc<Change>,
@@ -407,7 +469,9 @@
             }
         }
         let touched: BTreeSet<SliceId> = change.lines.keys().map(|key| key.0).collect();
-        touched.into_iter().for_each(|slice| around.store(slice, self.tables.lines_of(slice)));
+        for slice in touched {
+            around.store(slice, self.tables.epoch(slice).unwrap_or(0), self.tables.lines_of(slice));
+        }
         around.published(change, version);
     }
 
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -32,7 +32,7 @@
 /// Where an owner's orders go besides the proxies.
 pub struct Outlets {
     pub probes: Probes,
-    pub store: Option<StoreWriter>,
+    pub store: Option<Arc<StoreWriter>>,
     pub traffic: Option<TrafficWriter>,
 }
 
@@ -47,9 +47,9 @@
         self.outlets.probes.ask(host);
     }
 
-    fn store(&mut self, slice: SliceId, lines: Vec<(HostId, f64)>) {
+    fn store(&mut self, slice: SliceId, epoch: u64, lines: Vec<(HostId, f64)>) {
         if let Some(store) = &self.outlets.store {
-            store.put(slice, lines);
+            store.put(slice, epoch, lines);
         }
     }
 
@@ -78,13 +78,14 @@
 impl Owner {
     pub fn new(
         installation: Installation,
+        incarnation: Option<u64>,
         inbox: Arc<Inbox>,
         outlets: Outlets,
         shown: Arc<Mutex<Figures>>,
     ) -> Owner {
         let now = now();
         let around = Around { class_names: installation.class_names.clone(), outlets };
-        let kernel = Kernel::new(installation, (now * 1e9) as u64, now);
+        let kernel = Kernel::new(installation, incarnation.unwrap_or((now * 1e9) as u64), now);
         Owner { kernel, around, inbox, only_acks: false, shown }
     }
 
@@ -140,6 +141,16 @@
                 tracing::info!(slices = charges.len(), "slices are in charge, with their tables");
                 kernel.hear_charges(charges);
             }
+            Word::Grants { gained, lost, lapsed } => {
+                let slices = |ids: &mut dyn Iterator<Item = u16>| {
+                    ids.map(|id| id.to_string()).collect::<Vec<_>>().join(" ")
+                };
+                let come = slices(&mut gained.iter().map(|(charge, _)| charge.slice.0));
+                let gone = slices(&mut lost.iter().map(|slice| slice.0));
+                let over = slices(&mut lapsed.iter().map(|slice| slice.0));
+                tracing::info!(come, gone, over, "slices come into charge and go");
+                kernel.hear_grants(gained, &lost, &lapsed);
+            }
             Word::Probe(result) => kernel.hear_probe(result),
             Word::Joins { stream, subscribe, door } => kernel.join(now(), stream, subscribe, door, around),
             Word::Leaves { stream, proxy, why } => kernel.leave(now(), stream, proxy, &why, around),
--- a/crates/railhub-steward/src/service.rs
+++ b/crates/railhub-steward/src/service.rs
@@ -1,8 +1,9 @@
 //! Starts a steward's parts in their order, and stops them.
-use crate::fleet::{FleetFigures, FleetService};
+use crate::fleet::{FleetFigures, FleetService, Shares};
 use crate::inbox::{inbox, Inbox, Word};
 use crate::installation::Installation;
 use crate::kernel::Figures;
+use crate::leases::LeaseBook;
 use crate::outbox::MessageCap;
 use crate::owner::{Outlets, Owner};
 use crate::probes;
@@ -10,6 +11,7 @@
 use crate::store::StoreWriter;
 use crate::streams::{serve, Doors, StreamTerms};
 use crate::traffic::TrafficWriter;
+use railhub_membership::table::Defence;
 use railhub_net::{now, Listener, Task};
 use railhub_traffic::file::TrafficFault;
 use std::net::SocketAddr;
@@ -50,20 +52,36 @@
             cap: MessageCap { most: installation.terms.message_cap, span: installation.terms.messages_span },
         };
         let doors = Arc::new(Doors::default());
-        let taking = inbox.clone();
-        let listener =
-            Listener::open(installation.listen, move |stream, _| serve(stream, &taking, &doors, streams))
-                .map_err(|e| StartFault::Listen(installation.listen, e))?;
+        let overruns =
+            installation.fleet.as_ref().is_some_and(|fleet| fleet.without == Some(Defence::LeaseEnd));
+        let sharing = installation.fleet.as_ref().filter(|fleet| fleet.share);
+        let leases = sharing.map(|fleet| Arc::new(LeaseBook::new(fleet.clock, overruns)));
+        let (taking, writing) = (inbox.clone(), leases.clone());
+        let each = move |stream, _| serve(stream, &taking, &doors, streams, writing.clone());
+        let listener = Listener::open(installation.listen, each)
+            .map_err(|e| StartFault::Listen(installation.listen, e))?;
+        let store = installation.store.map(|store| match installation.shares() {
+            true => StoreWriter::share(store),
+            false => StoreWriter::start(store, inbox.clone()),
+        });
+        let store = store.map(Arc::new);
+        let shares = store.clone().zip(leases).map(|(store, leases)| Shares {
+            store,
+            inbox: inbox.clone(),
+            leases,
+            slices: installation.terms.slices,
+        });
         let fleet = installation.fleet.as_ref().map(|terms| {
-            FleetService::start(terms, shown.clone(), installation.terms.slices)
+            FleetService::start(terms, shown.clone(), shares, installation.terms.slices)
                 .map_err(|e| StartFault::Fleet(terms.listen, e))
         });
         let fleet = fleet.transpose()?;
         let probes = probes::start(installation.probes_at_once, installation.probe_within, &inbox);
-        let store = installation.store.map(|store| StoreWriter::start(store, inbox.clone()));
         let roster = roster::follow(installation.roster, inbox.clone());
-        let owner =
-            Owner::new(installation, inbox.clone(), Outlets { probes, store, traffic }, shown.clone());
+        // Where stewards share, versions and leases are of the same process.
+        let incarnation = fleet.as_ref().filter(|_| installation.shares()).map(|fleet| fleet.process);
+        let outlets = Outlets { probes, store, traffic };
+        let owner = Owner::new(installation, incarnation, inbox.clone(), outlets, shown.clone());
         let owner = std::thread::spawn(move || owner.run());
         tracing::info!(address = %listener.address, "the steward listens");
         let address = listener.address;
--- /dev/null
+++ b/crates/railhub-steward/src/standing.rs
@@ -0,0 +1,116 @@
+//! What is still said while nothing may be ordered: leases are over and the store is silent, so tables stand as they
+//! are; but a host that the list calls draining or gone must be left all the same, by each steward alone. It is shut
+//! out, which names no slice and no epoch: proxies go by it for the slices that they have from this steward and from
+//! no later one. Decided from what stands and the list, nothing else; free of I/O and of clocks.
+use railhub::{HostId, HostList, Phase, SliceId};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// Slices whose leases are over, with the hosts of their tables.
+    slices: BTreeMap<SliceId, Vec<HostId>>,
+    phases: BTreeMap<HostId, Phase>,
+    /// Hosts that are shut out on this account.
+    ours: BTreeSet<HostId>,
+}
+
+impl Standing {
+    /// The list, as the decisions hear it; hosts that it has dropped are gone.
+    pub fn hear(&mut self, list: &HostList) {
+        if list.whole {
+            self.phases.values_mut().for_each(|phase| *phase = Phase::Gone);
+        }
+        self.phases.extend(list.entries.iter().map(|entry| (entry.host, entry.phase)));
+    }
+
+    /// The lease of a slice is over, and nobody has said whose it is now.
+    pub fn stands(&mut self, slice: SliceId, hosts: Vec<HostId>) {
+        self.slices.insert(slice, hosts);
+    }
+
+    /// It is in charge again, or another's.
+    pub fn is_settled(&mut self, slice: SliceId) {
+        self.slices.remove(&slice);
+    }
+
+    fn is_ready(&self, host: &HostId) -> bool {
+        self.phases.get(host) == Some(&Phase::Ready)
+    }
+
+    /// Hosts to be left: never the last one of a slice that is ready or not known to go.
+    fn to_leave(&self, dropped_may_stay: bool) -> BTreeSet<HostId> {
+        let goes = |host: &HostId| match self.phases.get(host) {
+            Some(Phase::Draining) => true,
+            Some(Phase::Gone) => !dropped_may_stay,
+            _ => false,
+        };
+        let named: BTreeSet<HostId> = self.slices.values().flatten().copied().collect();
+        let serves = |host: &HostId, table: &&Vec<HostId>| table.contains(host);
+        let is_free = |host: &HostId| {
+            let mut tables = self.slices.values().filter(|table| serves(host, table));
+            tables.all(|table| table.iter().any(|other| other != host && self.is_ready(other)))
+        };
+        named.into_iter().filter(|host| goes(host) && is_free(host)).collect()
+    }
+
+    /// What is to be said now. `said`: whom the decisions have shut out themselves.
+    pub fn words(&mut self, dropped_may_stay: bool, said: &BTreeSet<HostId>) -> BTreeMap<HostId, bool> {
+        let wanted = self.to_leave(dropped_may_stay);
+        let out = wanted.difference(&self.ours).filter(|host| !said.contains(host)).map(|host| (*host, true));
+        let back =
+            self.ours.difference(&wanted).filter(|host| !said.contains(host)).map(|host| (*host, false));
+        let words = out.chain(back).collect();
+        self.ours = wanted;
+        words
+    }
+
+    /// Whether the decisions' word that lets a host in again must wait.
+    pub fn holds(&self, host: &HostId) -> bool {
+        self.ours.contains(host)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use railhub::{KindId, Listed};
+
+    fn host(n: u16) -> HostId {
+        HostId::new(&format!("127.0.0.1:{}", 9000 + n)).expect("a name")
+    }
+
+    fn list(phases: &[(u16, Phase)]) -> HostList {
+        let entry = |(n, phase): &(u16, Phase)| Listed {
+            host: host(*n),
+            phase: *phase,
+            started: None,
+            weight: 1.0,
+            kind: KindId::default(),
+        };
+        HostList { whole: false, entries: phases.iter().map(entry).collect() }
+    }
+
+    #[test]
+    fn a_host_that_drains_is_left_once_and_let_in_when_the_slice_is_settled() {
+        let (mut standing, said) = (Standing::default(), BTreeSet::new());
+        standing.hear(&list(&[(1, Phase::Ready), (2, Phase::Ready)]));
+        standing.stands(SliceId(4), vec![host(1), host(2)]);
+        assert!(standing.words(true, &said).is_empty());
+        standing.hear(&list(&[(1, Phase::Draining)]));
+        assert_eq!(standing.words(true, &said), BTreeMap::from([(host(1), true)]));
+        assert!(standing.words(true, &said).is_empty() && standing.holds(&host(1)));
+        standing.is_settled(SliceId(4));
+        assert_eq!(standing.words(true, &said), BTreeMap::from([(host(1), false)]));
+    }
+
+    #[test]
+    fn the_last_host_of_a_slice_is_never_shut_out() {
+        let mut standing = Standing::default();
+        standing.hear(&list(&[(1, Phase::Draining), (2, Phase::Draining), (3, Phase::Ready)]));
+        standing.stands(SliceId(1), vec![host(1), host(2)]);
+        standing.stands(SliceId(2), vec![host(1), host(3)]);
+        assert!(standing.words(true, &BTreeSet::new()).is_empty(), "slice 1 would have none");
+        standing.is_settled(SliceId(1));
+        assert_eq!(standing.words(true, &BTreeSet::new()), BTreeMap::from([(host(1), true)]));
+    }
+}
--- a/crates/railhub-steward/src/streams.rs
+++ b/crates/railhub-steward/src/streams.rs
@@ -3,7 +3,9 @@
 use crate::inbox::{Inbox, Report, StreamId, Word};
 use crate::intake;
 use crate::kernel::Gate;
+use crate::leases::LeaseBook;
 use crate::outbox::{MessageCap, Next, Outbox, Publication};
+use crate::tables::Change;
 use may::net::TcpStream;
 use may::sync::{Mutex, Semphore};
 use railhub::{MarkId, ProxyId, Seconds, ZoneId};
@@ -26,6 +28,8 @@
 pub struct Door {
     inner: Mutex<Inner>,
     wake: Semphore,
+    /// What this steward may order, where it shares the slices with others.
+    leases: Option<Arc<LeaseBook>>,
 }
 
 struct Inner {
@@ -34,9 +38,22 @@
 }
 
 impl Door {
-    fn new(cap: MessageCap) -> Door {
+    fn new(cap: MessageCap, leases: Option<Arc<LeaseBook>>) -> Door {
         let inner = Inner { outbox: Outbox::new(cap), goodbye: None };
-        Door { inner: Mutex::new(inner), wake: Semphore::new(0) }
+        Door { inner: Mutex::new(inner), wake: Semphore::new(0), leases }
+    }
+
+    /// The bytes of a delta without what may not be ordered at this moment: it was decided under leases that are
+    /// over by now, since the proxy read slowly or the process stood still. What is left out is the next one's to say.
+    fn lawful(&self, publication: &Publication) -> Option<Vec<u8>> {
+        let leases = self.leases.as_ref()?;
+        let over = leases.over(&publication.change.epochs);
+        (!over.is_empty()).then(|| {
+            let mut change = Change::clone(&publication.change);
+            change.keep_slices(|slice| !over.contains(&slice));
+            let Publication { incarnation, version, ordered_at, mark, .. } = *publication;
+            Publication::new(change, incarnation, version, ordered_at, mark).bytes
+        })
     }
 
     fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
@@ -97,7 +114,13 @@
 }
 
 /// Takes a new connection; the caller does not wait.
-pub fn serve(stream: TcpStream, inbox: &Arc<Inbox>, doors: &Arc<Doors>, terms: StreamTerms) {
+pub fn serve(
+    stream: TcpStream,
+    inbox: &Arc<Inbox>,
+    doors: &Arc<Doors>,
+    terms: StreamTerms,
+    leases: Option<Arc<LeaseBook>>,
+) {
     if doors.open.fetch_add(1, Ordering::Relaxed) >= terms.streams_most {
         doors.open.fetch_sub(1, Ordering::Relaxed);
         tracing::warn!(limit = terms.streams_most, "a stream is turned away: too many are open");
@@ -107,7 +130,7 @@
     go(move || {
         let id = StreamId(doors.last.fetch_add(1, Ordering::Relaxed) + 1);
         if let Ok((reader, writer)) = split(stream, FROM_PROXY_LIMIT) {
-            follow(id, reader, writer, &inbox, terms);
+            follow(id, reader, writer, &inbox, terms, leases);
         }
         doors.open.fetch_sub(1, Ordering::Relaxed);
     });
@@ -120,6 +143,7 @@
     mut writer: FrameWriter,
     inbox: &Arc<Inbox>,
     terms: StreamTerms,
+    leases: Option<Arc<LeaseBook>>,
 ) {
     reader.patience(Some(terms.first_within));
     writer.patience(terms.silent_after);
@@ -132,7 +156,7 @@
         }
     };
     let (proxy, zone) = (ProxyId(subscribe.proxy as u16), ZoneId(subscribe.zone as u16));
-    let door = Arc::new(Door::new(terms.cap));
+    let door = Arc::new(Door::new(terms.cap, leases));
     let (_ending, behind) = (Ending(door.clone()), door.clone());
     go(move || write(writer, &behind));
     inbox.tell(Word::Joins { stream: id, subscribe, door: door.clone() });
@@ -217,7 +241,8 @@
                 door.wake.wait();
             }
             Ok(Next::Write(publication)) => {
-                if writer.send_bytes(&publication.bytes).is_err() {
+                let lawful = door.lawful(&publication);
+                if writer.send_bytes(lawful.as_ref().unwrap_or(&publication.bytes)).is_err() {
                     return writer.close();
                 }
             }
--- a/crates/railhub-steward/src/tables.rs
+++ b/crates/railhub-steward/src/tables.rs
@@ -1,7 +1,7 @@
 //! What proxies are to hold: lines, levels and shut-outs in versions, and the latest changes between them.
 //! Free of I/O and of clocks.
 use railhub::{ClassId, HostId, SecondTry, Seconds, SliceId};
-use railhub_proto::{Again, Delta, Level, Shut, TableLine};
+use railhub_proto::{Again, Delta, Level, Shut, SliceEpoch, TableLine};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -18,6 +18,8 @@
     pub levels: BTreeMap<ClassId, (f64, SecondTry)>,
     pub shut: BTreeMap<HostId, bool>,
     pub handed: Option<SliceId>,
+    /// Where stewards share the slices: the epoch that each slice named is ordered under.
+    pub epochs: BTreeMap<SliceId, u64>,
 }
 
 impl Change {
@@ -51,6 +53,19 @@
         self.levels.extend(&later.levels);
         self.shut.extend(&later.shut);
         self.handed = later.handed.or(self.handed);
+        self.epochs.extend(&later.epochs);
+    }
+
+    /// Leaves out all that is said of slices that are not to be ordered.
+    pub fn keep_slices(&mut self, keep: impl Fn(SliceId) -> bool) {
+        self.lines.retain(|(slice, _), _| keep(*slice));
+        self.cleared.retain(|slice| keep(*slice));
+        self.epochs.retain(|slice, _| keep(*slice));
+    }
+
+    /// Slices that it says something of.
+    pub fn slices(&self) -> BTreeSet<SliceId> {
+        self.lines.keys().map(|key| key.0).chain(self.cleared.iter().copied()).collect()
     }
 
     /// Leaves out what a later change, which the proxy takes in by itself, has the word on.
@@ -60,11 +75,13 @@
         self.levels.retain(|class, _| !later.reset && !later.levels.contains_key(class));
         self.shut.retain(|host, _| !later.reset && !later.shut.contains_key(host));
         self.reset &= !later.reset;
+        self.epochs.retain(|slice, _| !later.epochs.contains_key(slice));
     }
 
     /// The same for a proxy that is on no table yet.
     pub fn without_lines(&self) -> Change {
-        Change { cleared: BTreeSet::new(), lines: BTreeMap::new(), ..self.clone() }
+        let (cleared, lines, epochs) = Default::default();
+        Change { cleared, lines, epochs, ..self.clone() }
     }
 
     pub fn to_delta(&self, incarnation: u64, version: u64, ordered_at: Seconds) -> Delta {
@@ -91,6 +108,9 @@
                 .collect(),
             shut: (self.shut.iter()).map(|(host, out)| Shut { host: host.to_string(), out: *out }).collect(),
             handed: self.handed.map(|table| table.0.into()),
+            epochs: (self.epochs.iter())
+                .map(|(slice, epoch)| SliceEpoch { slice: slice.0.into(), epoch: *epoch })
+                .collect(),
         }
     }
 }
@@ -107,6 +127,8 @@
 pub struct Tables {
     pub version: u64,
     lines: BTreeMap<SliceId, BTreeMap<HostId, f64>>,
+    /// Slices in charge, where stewards share them.
+    epochs: BTreeMap<SliceId, u64>,
     levels: BTreeMap<ClassId, (f64, SecondTry)>,
     shut: BTreeMap<HostId, bool>,
     /// The latest changes, the oldest first; the last one made the present version.
@@ -120,6 +142,42 @@
         self.lines.insert(slice, lines.iter().copied().collect());
     }
 
+    /// A slice comes into charge under an epoch, with its table as the store has it. Proxies go by another
+    /// steward's word on it until they are told: see [`Tables::opening`].
+    pub fn take_charge(&mut self, slice: SliceId, epoch: u64, lines: &[(HostId, f64)]) {
+        self.take_stored(slice, lines);
+        self.epochs.insert(slice, epoch);
+    }
+
+    /// It is another's from now on: proxies keep what they hold of it, and nothing more is said.
+    pub fn give_up(&mut self, slice: SliceId) {
+        self.lines.remove(&slice);
+        self.epochs.remove(&slice);
+    }
+
+    /// The epoch under which a slice is in charge, where stewards share them.
+    pub fn epoch(&self, slice: SliceId) -> Option<u64> {
+        self.epochs.get(&slice).copied()
+    }
+
+    /// All of some slices, for proxies that have it from another steward.
+    pub fn opening(&self, slices: &BTreeSet<SliceId>) -> Change {
+        let mut change = Change { cleared: slices.clone(), ..Change::default() };
+        for slice in slices {
+            let lines = self.lines_of(*slice);
+            change.lines.extend(lines.into_iter().map(|(host, weight)| ((*slice, host), weight)));
+        }
+        change
+    }
+
+    /// Leaves out slices that are not in charge, and says under which epoch the others are ordered.
+    pub fn stamp(&self, change: &mut Change) {
+        change.keep_slices(|slice| self.epochs.contains_key(&slice));
+        let named = change.slices();
+        change.epochs =
+            self.epochs.iter().filter(|(slice, _)| named.contains(slice)).map(|(s, e)| (*s, *e)).collect();
+    }
+
     /// Makes the next version.
     pub fn apply(&mut self, change: Arc<Change>) -> u64 {
         for slice in &change.cleared {
@@ -162,6 +220,7 @@
             levels: self.levels.clone(),
             shut: self.shut.iter().filter(|(_, out)| **out).map(|(host, out)| (*host, *out)).collect(),
             handed: None,
+            epochs: self.epochs.clone(),
         }
     }
 
--- a/crates/railhub-watch/src/scene.rs
+++ b/crates/railhub-watch/src/scene.rs
@@ -134,7 +134,7 @@
                 self.steward_up = life.up;
                 self.tell(at, format!("the steward {}", if life.up { "starts" } else { "is killed" }));
             }
-            What::TryEnd(_) | What::Effect(_) => {}
+            What::TryEnd(_) | What::Effect(_) | What::Granted(_) | What::Stored(_) => {}
         }
     }
 
