Takeovers and store troubles on processes; a steward without a store lets the others take its slices

An explorer of leases found that a store started from a copy older than its first grant granted at once: the quiet time is now its own fixed figure.

--- a/crates/railhub-chaos/src/bed/shared.rs
+++ b/crates/railhub-chaos/src/bed/shared.rs
@@ -4,7 +4,7 @@
 use crate::world::FLAP;
 use crate::Sabotage;
 use railhub_day::stewards::TestClock;
-use railhub_day::troubles::{Act, Trouble};
+use railhub_day::troubles::{Act, CutWay, Trouble};
 use railhub_day::Day;
 use railhub_ini::{Complaint, Sheet};
 
@@ -72,6 +72,11 @@
             Act::StewardsSplit { side: (0..32).filter(|steward| side >> steward & 1 == 1).collect() }
         }
         What::StoreAway => Act::StoreAway,
+        What::StoreLosesAnswers => Act::StoreLosesAnswers,
+        What::CutStore { steward } => {
+            let from = vec!["store".to_owned()];
+            Act::StewardCut { steward: usize::from(*steward), from, way: CutWay::Both }
+        }
         What::StoreSlow { by } => Act::StoreSlow { by: *by },
         What::StoreForgets { by } => Act::StoreForgets { by: *by },
         What::SlowOrders { steward, by } => Act::SlowOrders { steward: usize::from(*steward), by: *by },
--- a/crates/railhub-chaos/src/faults.rs
+++ b/crates/railhub-chaos/src/faults.rs
@@ -39,6 +39,12 @@
         side: u32,
     },
     StoreAway,
+    /// This steward alone does not reach the store.
+    CutStore {
+        steward: u16,
+    },
+    /// The store does what it is asked and its answers are lost.
+    StoreLosesAnswers,
     /// Each answer of the store takes so many seconds more.
     StoreSlow {
         by: f64,
@@ -209,9 +215,6 @@
             }
             chaos.named.push(fault);
         }
-        if chaos.judged == Judged::Leases && !chaos.named.is_empty() {
-            return Err(section.wrong("judge", "must be view where faults are named"));
-        }
         if chaos.stewards > DRAWN_MOST && chaos.named.is_empty() && chaos.faults_most > 0 {
             return Err(
                 section.wrong("stewards", format!("may be {DRAWN_MOST} at the most where faults are drawn"))
@@ -282,13 +285,15 @@
         let steward = chance.random_range(0..self.stewards);
         let other = chance.random_range(0..self.stewards);
         let part = chance.random::<f64>() * 2.0 - 1.0;
-        let (long, what) = match chance.random_range(0..13u32) {
+        let (long, what) = match chance.random_range(0..15u32) {
             0 | 1 => (usual, What::Kill { steward }),
             2 | 3 => (PAUSES[chance.random_range(0..PAUSES.len())], What::Pause { steward }),
             4 => (usual, What::Cut { from: steward, to: other }),
             5 => (usual, What::Split { side: chance.random_range(1..(1u32 << self.stewards).max(2)) }),
             6 => (usual, What::StoreAway),
             7 => (usual, What::StoreSlow { by: 0.1 + 0.7 * part.abs() }),
+            13 => (usual, What::CutStore { steward }),
+            14 => (usual.min(3.0), What::StoreLosesAnswers),
             12 => (0.0, What::StoreForgets { by: 10.0 * part.abs() }),
             8 => (self.length, What::Drift { steward, by: DRIFT * part }),
             9 => (0.0, What::Jump { steward, by: JUMP * part }),
@@ -315,6 +320,19 @@
         "twin" => What::Twin { steward: steward("steward")? },
         "backward" => What::Backward { steward: steward("steward")? },
         "flap" => What::Flap { steward: steward("steward")? },
+        "drain" => What::Drain { steward: steward("steward")? },
+        "cut_store" => What::CutStore { steward: steward("steward")? },
+        "store_away" => What::StoreAway,
+        "store_loses_answers" => What::StoreLosesAnswers,
+        "store_slow" => What::StoreSlow { by: section.need_within("by", 0.0, 60.0)? },
+        "store_forgets" => What::StoreForgets { by: section.within("by", 0.0, 0.0, 60.0)? },
+        "slow_orders" => {
+            What::SlowOrders { steward: steward("steward")?, by: section.need_within("by", 0.0, 10.0)? }
+        }
+        "drift" => What::Drift { steward: steward("steward")?, by: section.need_within("by", -0.1, 0.1)? },
+        "jump" => {
+            What::Jump { steward: steward("steward")?, by: section.need_within("by", -1000.0, 1000.0)? }
+        }
         "replay" => What::Replay,
         "cut" => What::Cut { from: steward("from")?, to: steward("to")? },
         "apart" => What::Apart { a: steward("a")?, b: steward("b")? },
--- a/crates/railhub-chaos/src/lib.rs
+++ b/crates/railhub-chaos/src/lib.rs
@@ -5,6 +5,7 @@
 mod agenda;
 pub mod bed;
 pub mod explore;
+pub mod explore_leases;
 pub mod faults;
 pub mod judge;
 pub mod shrink;
--- a/crates/railhub-chaos/src/world.rs
+++ b/crates/railhub-chaos/src/world.rs
@@ -127,10 +127,10 @@
         last_process: 0,
         last_order: 0,
         on: BTreeSet::new(),
-        store: Grants::new(Broken {
-            reuses_epochs: sabotage == Some(Sabotage::EpochReused),
-            ..Broken::default()
-        }),
+        store: Grants::new(
+            chaos.span,
+            Broken { reuses_epochs: sabotage == Some(Sabotage::EpochReused), ..Broken::default() },
+        ),
         copies: VecDeque::new(),
         fences: vec![Fence::default(); chaos.proxies as usize],
         seen: vec![BTreeSet::new(); chaos.proxies as usize],
@@ -371,10 +371,11 @@
     }
 
     fn asked(&mut self, id: u16, ask: &StoreAsk) {
-        let away = self.on.iter().any(|number| self.faults[*number].what == What::StoreAway);
-        if away {
+        let is_on = |what: &What| self.on.iter().any(|number| self.faults[*number].what == *what);
+        if is_on(&What::StoreAway) || is_on(&What::CutStore { steward: id }) {
             return;
         }
+        let loses_answers = is_on(&What::StoreLosesAnswers);
         let slow = self.on.iter().map(|number| match self.faults[*number].what {
             What::StoreSlow { by } => by,
             _ => 0.0,
@@ -391,6 +392,9 @@
             self.events.push(Event::Granted { at: now, slice, epoch: epoch.0, process: ask.process });
         }
         let says = answer.says;
+        if loses_answers {
+            return;
+        }
         let arrives = now + self.way() + slow;
         self.due(arrives, Due::Says { steward: id, process: ask.process, says });
     }
--- a/crates/railhub-chaos/tests/runs.rs
+++ b/crates/railhub-chaos/tests/runs.rs
@@ -1,4 +1,5 @@
 //! Many runs without a broken rule, and sabotage that must be found.
+use railhub_chaos::explore_leases::{explore, Without};
 use railhub_chaos::judge::{figures, judge, NEVER_BACK, NOT_PAST, NOT_TWICE, ONE_STEWARD};
 use railhub_chaos::shrink::shrink;
 use railhub_chaos::{run, Chaos, Event, Fault, Sabotage, What};
@@ -124,3 +125,13 @@
         assert!(events.iter().any(|event| matches!(event, Event::Ordered { at, .. } if *at > 19.0)));
     }
 }
+
+#[test]
+fn the_explorer_of_leases_finds_nothing_and_each_defence_that_is_left_out() {
+    let explored = explore(Without::Nothing, 150_000);
+    assert!(explored.counterexample.is_none(), "{:#?}", explored.counterexample);
+    for without in [Without::Fence, Without::NewEpochs, Without::LeaseEnd, Without::Quiet] {
+        let explored = explore(without, 1_500_000);
+        assert!(explored.counterexample.is_some(), "{without:?}: none in {} states", explored.states);
+    }
+}
--- a/crates/railhub-cli/src/fleet.rs
+++ b/crates/railhub-cli/src/fleet.rs
@@ -1,5 +1,6 @@
 //! `railhub fleet view|watch`: each steward's view of the fleet, side by side. Who looks is an observer: it bears nothing
 //! and is never counted.
+use crate::fleet_shares::{Drain, Slices};
 use crate::Ending;
 use clap::{Args, Subcommand};
 use railhub_ini::Sheet;
@@ -32,6 +33,10 @@
     View(Look),
     /// The same, again and again.
     Watch(Look),
+    /// Who has which slices under which epochs, as the store has it.
+    Slices(Slices),
+    /// Tells a steward to hand its slices over, and waits until it has. Exit 3: it has not in time.
+    Drain(Drain),
 }
 
 #[derive(Args)]
@@ -54,48 +59,51 @@
 }
 
 #[derive(Serialize)]
-struct ToldLine {
-    steward: u16,
-    process: u64,
+pub struct ToldLine {
+    pub steward: u16,
+    pub process: u64,
     count: u64,
     standing: Standing,
     stands_for: f64,
     /// Seconds since its own word came, if any did.
     heard_ago: Option<f64>,
-    address: Option<SocketAddr>,
+    pub address: Option<SocketAddr>,
     program: String,
     protocol: u32,
     settings: String,
-    drains: bool,
+    pub drains: bool,
+    pub no_store: bool,
     withdrawn: bool,
-    slices: u32,
+    pub slices: u32,
     proxies: u32,
     busy: f32,
 }
 
 #[derive(Serialize)]
-struct ToldView {
-    viewer: u16,
-    process: u64,
+pub struct ToldView {
+    pub viewer: u16,
+    pub process: u64,
     /// It takes no part: another process of its name does.
     yielded: bool,
     /// Datagrams that it dropped.
     dropped: u64,
-    lines: Vec<ToldLine>,
+    pub lines: Vec<ToldLine>,
 }
 
 #[derive(Serialize)]
-struct Told {
+pub struct Told {
     installation: String,
     /// All that answer hold the same processes to live.
     agree: bool,
-    views: Vec<ToldView>,
+    pub views: Vec<ToldView>,
     /// Held to live by somebody, and silent to us.
     silent: Vec<SocketAddr>,
 }
 
 pub fn run(arguments: &FleetArguments) -> Result<(), Ending> {
     let (look, mut left) = match &arguments.what {
+        FleetCommand::Slices(slices) => return crate::fleet_shares::slices(slices),
+        FleetCommand::Drain(drain) => return crate::fleet_shares::drain(drain),
         FleetCommand::View(look) => (look, 1),
         FleetCommand::Watch(look) => (look, if look.times == 0 { u64::MAX } else { look.times }),
     };
@@ -119,7 +127,7 @@
 }
 
 /// Asks the addresses of the file, then whoever the answers hold to live.
-fn look_at_all(socket: &UdpSocket, terms: &FleetTerms, first: &[SocketAddr]) -> Told {
+pub fn look_at_all(socket: &UdpSocket, terms: &FleetTerms, first: &[SocketAddr]) -> Told {
     let own = terms.advertise.or((terms.listen.port() != 0).then_some(terms.listen));
     let mut to_ask: Vec<SocketAddr> = first.iter().copied().chain(own).chain(terms.join.clone()).collect();
     let mut asked = BTreeSet::new();
@@ -211,6 +219,7 @@
         protocol: entry.card.protocol,
         settings: format!("{:016x}", entry.card.settings),
         drains: entry.card.drains,
+        no_store: entry.card.no_store,
         withdrawn: shown.withdrawn,
         slices: load.slices,
         proxies: load.proxies,
@@ -270,6 +279,7 @@
 fn cell(line: &ToldLine) -> String {
     let standing = match line.standing {
         Standing::Alive if line.withdrawn => "slow",
+        Standing::Alive if line.no_store => "no store",
         Standing::Alive if line.drains => "drains",
         Standing::Alive => "alive",
         Standing::Suspect => "suspect",
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod compare;
 mod day;
 mod fleet;
+mod fleet_shares;
 mod launch;
 mod logs;
 mod model;
--- a/crates/railhub-day/src/world.rs
+++ b/crates/railhub-day/src/world.rs
@@ -91,7 +91,7 @@
         });
         let proxies: Vec<_> = proxies.collect();
         let shared = (day.stewards > 1).then(|| recorder.clone());
-        let store = Store::open_as(tables, shared, day.broken_store)?;
+        let store = Store::open_as(tables, day.lease, shared, day.broken_store)?;
         let stewards = Stewards::open(day, &roster, store.address)?;
         Ok(Arc::new(World {
             day: day.clone(),
--- a/crates/railhub-membership/src/entry.rs
+++ b/crates/railhub-membership/src/entry.rs
@@ -45,6 +45,8 @@
     pub settings: u64,
     /// It hands its slices over and takes none.
     pub drains: bool,
+    /// The store does not answer it, and its leases are over: others take what it cannot hold.
+    pub no_store: bool,
 }
 
 /// What a steward tells of itself with each message; nobody passes it on.
@@ -86,7 +88,10 @@
         }
         let text = self.card.program.bytes().map(u64::from);
         let address = self.card.address.map(|address| address.to_string()).unwrap_or_default();
-        for byte in text.chain(address.bytes().map(u64::from)).chain([u64::from(self.card.drains)]) {
+        for byte in text
+            .chain(address.bytes().map(u64::from))
+            .chain([u64::from(self.card.drains) + 2 * u64::from(self.card.no_store)])
+        {
             sum = mix(sum ^ byte);
         }
         sum
--- a/crates/railhub-membership/src/grants.rs
+++ b/crates/railhub-membership/src/grants.rs
@@ -4,8 +4,9 @@
 //! *A restart from an older copy* of its state must be noticed, since epochs never go back. Two things see to it:
 //! each start has a base, and epochs granted since are above it; and a steward that renews names the epoch it holds,
 //! so a store that has never heard of it knows that it is behind. After a start nothing is granted anew for the
-//! longest span that was ever granted: whoever holds something that the copy does not know of has renewed it by
-//! then, and is taken at its word, or has stopped.
+//! longest span that it ever grants: whoever holds something that the copy does not know of has renewed it by then,
+//! and is taken at its word, or has stopped. That span is the store's own, fixed figure (the explorer found that the
+//! longest one *so far* is not enough: a copy may know of none).
 use crate::lease::Holding;
 use crate::office::{StoreAsk, StoreSays};
 use crate::{Epoch, Seconds};
@@ -16,8 +17,6 @@
 const EPOCHS_A_START: u64 = 1 << 20;
 /// Slices that the store answers for.
 const SLICES_MOST: usize = 1 << 16;
-/// Seconds of the longest lease that is granted.
-const SPAN_MOST: Seconds = 60.0;
 
 /// What the judge must find: a store that is broken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +25,8 @@
     pub reuses_epochs: bool,
     /// Tables are written under any epoch.
     pub writes_unchecked: bool,
+    /// It grants at once after it started from an older copy.
+    pub not_quiet: bool,
 }
 
 /// What follows from a question.
@@ -42,7 +43,8 @@
     holdings: BTreeMap<u16, Holding>,
     /// Epochs granted since this start are at least this.
     base: u64,
-    span_most: Seconds,
+    /// Seconds of the longest lease that it grants; questions for longer ones are refused.
+    longest: Seconds,
     /// Nothing is granted anew before.
     quiet_until: Seconds,
     pub broken: Broken,
@@ -50,15 +52,16 @@
 
 impl Grants {
     /// A store that starts for the first time.
-    pub fn new(broken: Broken) -> Grants {
-        Grants { broken, ..Grants::default() }
+    pub fn new(longest: Seconds, broken: Broken) -> Grants {
+        Grants { longest, broken, ..Grants::default() }
     }
 
     /// Starts again from what was kept, which may be older than what was last granted.
     /// `start`: seconds since 1970, higher than at the start before.
     pub fn start_again(&self, now: Seconds, start: u64) -> Grants {
         let base = (start.saturating_mul(EPOCHS_A_START)).max(self.base + 1);
-        Grants { base, quiet_until: now + self.span_most, ..self.clone() }
+        let quiet = if self.broken.not_quiet { 0.0 } else { self.longest };
+        Grants { base, quiet_until: now + quiet, ..self.clone() }
     }
 
     fn is_quiet(&self, now: Seconds) -> bool {
@@ -69,8 +72,13 @@
     pub fn answer(&mut self, now: Seconds, ask: &StoreAsk) -> Answer {
         let mut answer = Answer::default();
         answer.says.number = ask.number;
-        let span = if ask.span.is_finite() { ask.span.clamp(0.0, SPAN_MOST) } else { 0.0 };
-        self.span_most = self.span_most.max(span);
+        let span = ask.span;
+        // What it would count shorter than the asker does must not be granted at all.
+        if !(0.0..=self.longest).contains(&span) {
+            answer.says.refused =
+                ask.take.iter().copied().chain(ask.renew.iter().map(|held| held.0)).collect();
+            return answer;
+        }
         for (slice, epoch) in &ask.release {
             self.holdings.get_mut(slice).into_iter().for_each(|held| _ = held.release(ask.process, *epoch));
         }
@@ -157,7 +165,7 @@
 
     #[test]
     fn a_store_that_forgot_a_grant_takes_its_holder_at_its_word_and_grants_above_it() {
-        let mut grants = Grants::new(Broken::default());
+        let mut grants = Grants::new(3.0, Broken::default());
         assert_eq!(grants.answer(0.0, &ask(1, &[4], &[])).says.granted, [(4, Epoch(1))]);
         let copy = grants.clone();
         let later = grants.answer(5.0, &ask(2, &[4], &[])).says.granted[0].1;
@@ -173,17 +181,22 @@
 
     #[test]
     fn epochs_never_go_back_where_the_clock_of_starts_was_set_back() {
-        let mut grants = Grants::new(Broken::default()).start_again(0.0, 100);
-        let first = grants.answer(0.1, &ask(1, &[1], &[])).says.granted[0].1;
-        let mut again = Grants::new(Broken::default()).start_again(4.0, 3);
-        assert_eq!(again.answer(4.1, &ask(1, &[], &[(1, first.0)])).says.refused, [1], "no span is known");
-        let next = again.answer(4.2, &ask(2, &[1], &[])).says.granted[0].1;
+        let mut grants = Grants::new(3.0, Broken::default()).start_again(0.0, 100);
+        let first = grants.answer(3.1, &ask(1, &[1], &[])).says.granted[0].1;
+        assert!(first.0 >= 100 * EPOCHS_A_START);
+        let mut again = Grants::new(3.0, Broken::default()).start_again(4.0, 3);
+        assert_eq!(
+            again.answer(7.1, &ask(1, &[], &[(1, first.0)])).says.refused,
+            [1],
+            "too late: it was quiet before"
+        );
+        let next = again.answer(7.2, &ask(2, &[1], &[])).says.granted[0].1;
         assert!(next > first, "{next:?} after {first:?}");
     }
 
     #[test]
     fn a_table_is_written_under_the_epoch_that_was_granted_alone() {
-        let mut grants = Grants::new(Broken::default());
+        let mut grants = Grants::new(3.0, Broken::default());
         grants.answer(0.0, &ask(1, &[2], &[]));
         assert!(grants.may_write(2, Epoch(1)) && !grants.may_write(2, Epoch(0)));
         grants.answer(9.0, &ask(2, &[2], &[]));
--- a/crates/railhub-membership/src/office.rs
+++ b/crates/railhub-membership/src/office.rs
@@ -13,6 +13,8 @@
 /// given up.
 const ASK_EVERY: Seconds = 0.2;
 const ANSWER_WITHIN: Seconds = 1.0;
+/// Questions without an answer, one after another, after which a steward that holds nothing says that it has no store.
+const UNANSWERED_MOST: u32 = 2;
 /// Slices named in one question: an answer brings their tables, and a takeover must not come in one lump.
 const TAKEN_AT_ONCE: usize = 256;
 /// Seconds that a store's refusal stands: what another holds is not asked for again at once.
@@ -64,6 +66,8 @@
     ask_at: Seconds,
     refused: BTreeMap<u16, Seconds>,
     drains: bool,
+    /// Questions to the store without an answer, one after another.
+    unanswered: u32,
 }
 
 /// What an office is given at its start.
@@ -103,6 +107,7 @@
             ask_at: now + seat.settle,
             refused: BTreeMap::new(),
             drains: false,
+            unanswered: 0,
         }
     }
 
@@ -176,7 +181,12 @@
         self.follow(now, &acts.changed);
         if self.asked.is_some_and(|(_, at)| now - at > ANSWER_WITHIN) {
             self.asked = None;
+            self.unanswered += 1;
         }
+        // One that lives and cannot hold anything would keep its slices from everyone for as long as it lives.
+        let no_store = self.unanswered >= UNANSWERED_MOST && self.leases.count() == 0;
+        self.members.set_no_store(no_store);
+        self.sharing.hear(now, self.me, self.members.may_bear(self.me));
         if self.asked.is_none() && now >= self.ask_at {
             acts.ask = self.question(now, &mut acts.lost);
         }
@@ -207,7 +217,8 @@
         let renews = now >= self.leases.renew_at();
         let renew: Vec<(u16, Epoch)> = if renews { self.leases.held().collect() } else { Vec::new() };
         self.ask_at = now + ASK_EVERY;
-        if take.is_empty() && renew.is_empty() && release.is_empty() {
+        // One that the store did not answer asks on, for nothing if need be: else it would never hear that it is back.
+        if take.is_empty() && renew.is_empty() && release.is_empty() && self.unanswered == 0 {
             return None;
         }
         self.number += 1;
@@ -223,6 +234,7 @@
             return Acts::default();
         };
         self.asked = None;
+        self.unanswered = 0;
         let before: BTreeMap<u16, Epoch> = self.leases.held().collect();
         self.leases.granted(now, asked, &says.granted);
         self.leases.refused(&says.refused);
--- a/crates/railhub-membership/src/packet.rs
+++ b/crates/railhub-membership/src/packet.rs
@@ -115,6 +115,9 @@
     drains: bool,
     #[prost(uint32, optional, tag = "7")]
     by: Option<u32>,
+    /// Absent in builds before 0.2.0 shared slices.
+    #[prost(bool, tag = "8")]
+    no_store: bool,
 }
 
 #[derive(Clone, PartialEq, Wire)]
@@ -336,6 +339,7 @@
         protocol: entry.card.protocol,
         settings: entry.card.settings,
         drains: entry.card.drains,
+        no_store: entry.card.no_store,
         by: entry.by.map(|by| by.0.into()),
     }
 }
@@ -355,6 +359,7 @@
         protocol: entry.protocol,
         settings: entry.settings,
         drains: entry.drains,
+        no_store: entry.no_store,
     };
     let by = entry.by.map(id).transpose()?;
     Ok(Entry { about: line.about, life: line.life, standing: line.standing, card, by })
@@ -502,6 +507,7 @@
             protocol: u32::MAX,
             settings: u64::MAX,
             drains: true,
+            no_store: true,
         };
         let life = Life { process: u64::MAX - 1, count: u64::MAX - 1 };
         let by = Some(StewardId(u16::MAX));
--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -254,6 +254,9 @@
     /// It may bear slices, as far as we know; a suspect still does: taking what it holds is no hurry before it is
     /// held for dead, and not possible before its leases end.
     pub fn may_bear(&self, id: StewardId) -> bool {
+        if self.table.get(id).is_some_and(|entry| entry.card.no_store) {
+            return false;
+        }
         if id == self.me() {
             !self.is_named(id, self.ticked_at)
         } else {
@@ -275,6 +278,14 @@
         self.rumours.tell_first(self.table.me().clone());
     }
 
+    /// The store does not answer us, or does again; the others learn of it.
+    pub fn set_no_store(&mut self, no_store: bool) {
+        if self.table.me().card.no_store != no_store {
+            self.table.rewrite(|card| card.no_store = no_store);
+            self.rumours.tell_first(self.table.me().clone());
+        }
+    }
+
     /// It hands its slices over, and says so.
     pub fn drains(&self, id: StewardId) -> bool {
         self.table.get(id).is_some_and(|entry| entry.card.drains)
--- a/crates/railhub-standin/src/proxy.rs
+++ b/crates/railhub-standin/src/proxy.rs
@@ -23,6 +23,9 @@
 /// Seconds between looks while an operation waits for a table, and while no steward is known.
 const TABLE_LOOK: f64 = 0.005;
 const STEWARD_LOOK: f64 = 0.02;
+/// Seconds a stream must have stood for the next dial to be as soon as usual, and doublings of the wait at the most.
+const STOOD: f64 = 0.5;
+const BACK_OFF_MOST: u32 = 3;
 /// Share of the contract time that must be left for a further try.
 const LITTLE_TIME: f64 = 0.1;
 
@@ -160,18 +163,22 @@
 
     fn keep_stream(self: Arc<Proxy>, steward: usize) {
         let process = now().to_bits() ^ u64::from(self.facts.number);
+        let mut failed = 0u32;
         loop {
             let address = self.around.stewards.lock().expect("no holder panics")[steward];
             let Some(address) = address else {
                 may::coroutine::sleep(seconds(STEWARD_LOOK));
                 continue;
             };
+            let dialled = now();
             if let Ok(stream) = connect(address, seconds(1.0)) {
                 if let Ok((reader, writer)) = split(stream, FROM_STEWARD_LIMIT) {
                     self.one_stream(steward, reader, writer, process);
                 }
             }
-            let pause = self.random() * self.facts.redial;
+            // One that ends at once is not there yet, or turns us away: it is dialled ever less often.
+            failed = if now() - dialled < STOOD { (failed + 1).min(BACK_OFF_MOST) } else { 0 };
+            let pause = self.random() * self.facts.redial * f64::from(1 << failed.saturating_sub(1));
             may::coroutine::sleep(seconds(pause));
         }
     }
--- a/crates/railhub-standin/src/store.rs
+++ b/crates/railhub-standin/src/store.rs
@@ -18,6 +18,9 @@
 const COPY_EVERY: f64 = 0.5;
 const COPIES_MOST: usize = 128;
 
+/// Seconds of the longest lease, unless said otherwise.
+const LONGEST: f64 = 10.0;
+
 type Tables = BTreeMap<u32, Vec<(SocketAddr, f64)>>;
 
 #[derive(Clone, Serialize, Deserialize)]
@@ -73,12 +76,17 @@
 
 impl Store {
     pub fn open(tables: Tables) -> io::Result<Store> {
-        Store::open_as(tables, None, Broken::default())
+        Store::open_as(tables, LONGEST, None, Broken::default())
     }
 
-    /// One whose grants and writes are recorded, and that may be broken for tests of the judge.
-    pub fn open_as(tables: Tables, recorder: Option<Recorder>, broken: Broken) -> io::Result<Store> {
-        let state = Mutex::new(State { tables, grants: Grants::new(broken) });
+    /// `longest`: seconds of the longest lease it grants. One whose grants and writes are recorded, and that may be broken for tests of the judge.
+    pub fn open_as(
+        tables: Tables,
+        longest: f64,
+        recorder: Option<Recorder>,
+        broken: Broken,
+    ) -> io::Result<Store> {
+        let state = Mutex::new(State { tables, grants: Grants::new(longest, broken) });
         let shared = Arc::new(Shared { state, recorder, ..Shared::default() });
         let serving = shared.clone();
         let door = Listener::open(SocketAddr::from(([127, 0, 0, 1], 0)), move |stream, _| {
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -258,6 +258,7 @@
         protocol: u32::from(packet::VERSION),
         settings: terms.settings,
         drains: false,
+        no_store: false,
     };
     let manners =
         Manners { seeds: terms.join.clone(), forget_after: terms.forget_after, without: terms.without };
--- a/crates/railhub-steward/src/standing.rs
+++ b/crates/railhub-steward/src/standing.rs
@@ -33,11 +33,11 @@
         self.slices.remove(&slice);
     }
 
-    fn is_ready(&self, host: &HostId) -> bool {
-        self.phases.get(host) == Some(&Phase::Ready)
+    fn is_gone(&self, host: &HostId) -> bool {
+        self.phases.get(host) == Some(&Phase::Gone)
     }
 
-    /// Hosts to be left: never the last one of a slice that is ready or not known to go.
+    /// Hosts to be left. Those that are shut out stay so; others follow as long as each table keeps one that is not.
     fn to_leave(&self, dropped_may_stay: bool) -> BTreeSet<HostId> {
         let goes = |host: &HostId| match self.phases.get(host) {
             Some(Phase::Draining) => true,
@@ -45,12 +45,16 @@
             _ => false,
         };
         let named: BTreeSet<HostId> = self.slices.values().flatten().copied().collect();
-        let serves = |host: &HostId, table: &&Vec<HostId>| table.contains(host);
-        let is_free = |host: &HostId| {
-            let mut tables = self.slices.values().filter(|table| serves(host, table));
-            tables.all(|table| table.iter().any(|other| other != host && self.is_ready(other)))
-        };
-        named.into_iter().filter(|host| goes(host) && is_free(host)).collect()
+        let mut out: BTreeSet<HostId> =
+            self.ours.iter().filter(|host| goes(host) && named.contains(host)).copied().collect();
+        for host in named.into_iter().filter(goes) {
+            let stays = |other: &HostId| *other != host && !out.contains(other) && !self.is_gone(other);
+            let mut tables = self.slices.values().filter(|table| table.contains(&host));
+            if tables.all(|table| table.iter().any(stays)) {
+                out.insert(host);
+            }
+        }
+        out
     }
 
     /// What is to be said now. `said`: whom the decisions have shut out themselves.
@@ -104,13 +108,15 @@
     }
 
     #[test]
-    fn the_last_host_of_a_slice_is_never_shut_out() {
-        let mut standing = Standing::default();
-        standing.hear(&list(&[(1, Phase::Draining), (2, Phase::Draining), (3, Phase::Ready)]));
+    fn of_two_that_drain_the_first_is_left_and_the_last_of_a_slice_is_not() {
+        let (mut standing, said) = (Standing::default(), BTreeSet::new());
+        standing.hear(&list(&[(1, Phase::Draining), (2, Phase::Ready), (3, Phase::Ready)]));
         standing.stands(SliceId(1), vec![host(1), host(2)]);
         standing.stands(SliceId(2), vec![host(1), host(3)]);
-        assert!(standing.words(true, &BTreeSet::new()).is_empty(), "slice 1 would have none");
+        assert_eq!(standing.words(true, &said), BTreeMap::from([(host(1), true)]));
+        standing.hear(&list(&[(2, Phase::Draining)]));
+        assert!(standing.words(true, &said).is_empty(), "slice 1 would have none, and the first stays out");
         standing.is_settled(SliceId(1));
-        assert_eq!(standing.words(true, &BTreeSet::new()), BTreeMap::from([(host(1), true)]));
+        assert!(standing.words(true, &said).is_empty() && standing.holds(&host(1)));
     }
 }
