--- a/crates/railhub-day/src/troubles.rs
+++ b/crates/railhub-day/src/troubles.rs
@@ -326,6 +326,8 @@
     may::coroutine::sleep(seconds(world.began + trouble.at - now()));
     let slower = match trouble.act {
         Act::SlowChannel { times } => times,
+        // Nobody can be told sooner: the shortest of the rules' times grows by the delay, the others more.
+        Act::SlowOrders { by, .. } => 1.0 + by / world.day.limits.grace.min(world.day.limits.lost_for),
         _ => 0.0,
     };
     world.note_trouble(trouble, true, slower);
--- a/crates/railhub-rules/src/slow.rs
+++ b/crates/railhub-rules/src/slow.rs
@@ -1,5 +1,6 @@
 //! While the steward's channel is slow, the times in the other rules grow by the same factor.
 use railhub_record::{Event, What};
+use std::collections::BTreeMap;
 
 pub struct Slowness {
     /// When the factor changed, and to what.
@@ -8,13 +9,20 @@
 
 impl Slowness {
     pub fn of(events: &[Event]) -> Slowness {
-        let changes = events.iter().filter_map(|event| match &event.what {
-            Some(What::Trouble(trouble)) if trouble.channel_slower > 0.0 => {
-                Some((event.at, trouble.channel_slower))
+        let mut on: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut changes = Vec::new();
+        for event in events {
+            let Some(What::Trouble(trouble)) = &event.what else { continue };
+            if trouble.channel_slower <= 0.0 {
+                continue;
             }
-            _ => None,
-        });
-        Slowness { changes: changes.collect() }
+            match trouble.on {
+                true => _ = on.insert(&trouble.name, trouble.channel_slower),
+                false => _ = on.remove(trouble.name.as_str()),
+            }
+            changes.push((event.at, on.values().product()));
+        }
+        Slowness { changes }
     }
 
     /// The largest factor at any time from one moment to another.
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -395,8 +395,7 @@
         let gained = acts.gained.iter().map(|(slice, epoch)| {
             let table = tables.remove(slice);
             // The store gives each with its table; without one it is filled as a slice that has none.
-            let table = table.unwrap_or(StoredTable { slice: *slice, epoch: epoch.0, lines: Vec::new() });
-            (table.charge(), epoch.0)
+            table.unwrap_or(StoredTable::empty(*slice)).gained(epoch.0)
         });
         let gained: Vec<_> = gained.collect();
         if !gained.is_empty() || !lost.is_empty() || !lapsed.is_empty() {
--- a/crates/railhub-steward/src/inbox.rs
+++ b/crates/railhub-steward/src/inbox.rs
@@ -3,6 +3,7 @@
 use railhub_proto::{Subscribe, Sums};
 use std::sync::Arc;
 
+use crate::kernel::Gained;
 use crate::streams::Door;
 
 /// Words and sums that may wait: some seconds' worth from thousands of proxies.
@@ -19,7 +20,7 @@
     /// Where stewards share: slices with the epochs that they came under, those that are another's, and those whose
     /// leases are over.
     Grants {
-        gained: Vec<(Charge, u64)>,
+        gained: Vec<Gained>,
         lost: Vec<SliceId>,
         lapsed: Vec<SliceId>,
     },
--- a/crates/railhub-steward/src/kernel.rs
+++ b/crates/railhub-steward/src/kernel.rs
@@ -13,8 +13,8 @@
 use crate::tables::{Change, Tables};
 use hdrhistogram::Histogram;
 use railhub::{
-    Charge, Confirmed, HostId, HostList, MarkId, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward,
-    StreamChange, TimerId, ZoneId,
+    Charge, Confirmed, HostId, HostList, MarkId, ProbeResult, ProxyId, Round, Seconds, SliceId, SliceState,
+    Steward, StreamChange, TimerId, ZoneId,
 };
 use railhub_proto::{Subscribe, Sums};
 use serde::Serialize;
@@ -36,11 +36,24 @@
     fn close(&self, reason: &str);
 }
 
+/// A slice that has come into charge.
+#[derive(Clone, Debug)]
+pub struct Gained {
+    pub charge: Charge,
+    pub epoch: u64,
+    /// What the former steward told of it, and how long ago, if it did.
+    pub state: Option<(SliceState, Seconds)>,
+}
+
 /// What the kernel asks of the world besides its proxies, and tells it.
 pub trait Surroundings {
     fn probe(&mut self, host: HostId);
     /// `epoch`: under which the slice is in charge; 0 where this steward is alone.
     fn store(&mut self, slice: SliceId, epoch: u64, lines: Vec<(HostId, f64)>);
+    /// A slice is given up: its table as it stands, and what its heir is told of it.
+    fn hand_on(&mut self, _slice: SliceId, _epoch: u64, _lines: Vec<(HostId, f64)>, _state: SliceState) {}
+    /// All that was to be written of these slices is told of: they may be released.
+    fn given_up(&mut self, _slices: &[SliceId]) {}
     /// A decision with its cause.
     fn decided(&mut self, cause: &str);
     fn published(&mut self, change: &Change, version: u64);
@@ -105,6 +118,8 @@
     shares: bool,
     /// Slices that have come into charge and that proxies have not been told of.
     opened: BTreeSet<SliceId>,
+    /// What is told of slices that have come, and when it was saved.
+    restoring: BTreeMap<SliceId, (SliceState, Seconds)>,
     /// Slices whose leases are over, and whom the decisions have shut out.
     standing: Standing,
     shut_out: BTreeSet<HostId>,
@@ -139,6 +154,7 @@
             charged: installation.terms.slices == 0 || shares,
             shares,
             opened: BTreeSet::new(),
+            restoring: BTreeMap::new(),
             standing: Standing::default(),
             shut_out: BTreeSet::new(),
             tables: Tables::default(),
@@ -177,21 +193,36 @@
 
     /// Slices come into charge under epochs, with their tables as the store has them, and go. What has gone is not
     /// ordered any more; proxies keep what they hold until the next one in charge tells them.
-    pub fn hear_grants(&mut self, gained: Vec<(Charge, u64)>, lost: &[SliceId], lapsed: &[SliceId]) {
+    pub fn hear_grants(
+        &mut self,
+        now: Seconds,
+        gained: Vec<Gained>,
+        lost: &[SliceId],
+        lapsed: &[SliceId],
+        around: &mut impl Surroundings,
+    ) {
         for slice in lapsed {
             let hosts = self.tables.lines_of(*slice).into_iter().map(|line| line.0);
             self.standing.stands(*slice, hosts.collect());
         }
+        for slice in lost {
+            self.standing.is_settled(*slice);
+            if let (Some(epoch), Some(state)) = (self.tables.epoch(*slice), self.brain.save(now, *slice)) {
+                around.hand_on(*slice, epoch, self.tables.lines_of(*slice), state);
+            }
+        }
+        around.given_up(lost);
         for slice in lost.iter().chain(lapsed) {
             self.tables.give_up(*slice);
             self.opened.remove(slice);
+            self.restoring.remove(slice);
             self.round.charges.push(Charge { slice: *slice, given: false, lines: Vec::new() });
         }
-        lost.iter().for_each(|slice| self.standing.is_settled(*slice));
-        for (charge, epoch) in gained {
+        for Gained { charge, epoch, state } in gained {
             self.standing.is_settled(charge.slice);
             self.tables.take_charge(charge.slice, epoch, &charge.lines);
             self.opened.insert(charge.slice);
+            self.restoring.extend(state.map(|(state, age)| (charge.slice, (state, now - age))));
             self.round.charges.push(charge);
         }
     }
@@ -403,6 +434,9 @@
         round.now = now;
         let mut draft = Draft::default();
         self.brain.round(&round, &mut draft);
+        for (slice, (state, saved_at)) in std::mem::take(&mut self.restoring) {
+            self.brain.restore(now, slice, &state, now - saved_at);
+        }
         let at = clock();
         self.figures.rounds += 1;
         self.figures.longest_round = self.figures.longest_round.max(at - now);
--- a/crates/railhub-steward/src/owner.rs
+++ b/crates/railhub-steward/src/owner.rs
@@ -7,7 +7,7 @@
 use crate::streams::Door;
 use crate::tables::Change;
 use crate::traffic::TrafficWriter;
-use railhub::{HostId, Phase, ProxyId, Seconds, SliceId};
+use railhub::{HostId, Phase, ProxyId, Seconds, SliceId, SliceState};
 use railhub_net::{now, seconds};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
@@ -53,6 +53,18 @@
         }
     }
 
+    fn hand_on(&mut self, slice: SliceId, epoch: u64, lines: Vec<(HostId, f64)>, state: SliceState) {
+        if let Some(store) = &self.outlets.store {
+            store.hand_on(slice, epoch, lines, state);
+        }
+    }
+
+    fn given_up(&mut self, slices: &[SliceId]) {
+        if let Some(store) = &self.outlets.store {
+            store.given_up(slices);
+        }
+    }
+
     fn decided(&mut self, cause: &str) {
         tracing::info!(cause, "decision");
     }
@@ -145,11 +157,11 @@
                 let slices = |ids: &mut dyn Iterator<Item = u16>| {
                     ids.map(|id| id.to_string()).collect::<Vec<_>>().join(" ")
                 };
-                let come = slices(&mut gained.iter().map(|(charge, _)| charge.slice.0));
+                let come = slices(&mut gained.iter().map(|gained| gained.charge.slice.0));
                 let gone = slices(&mut lost.iter().map(|slice| slice.0));
                 let over = slices(&mut lapsed.iter().map(|slice| slice.0));
                 tracing::info!(come, gone, over, "slices come into charge and go");
-                kernel.hear_grants(gained, &lost, &lapsed);
+                kernel.hear_grants(now(), gained, &lost, &lapsed, around);
             }
             Word::Probe(result) => kernel.hear_probe(result),
             Word::Joins { stream, subscribe, door } => kernel.join(now(), stream, subscribe, door, around),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -453,6 +453,22 @@
         }
     }
 
+    /// What the next one in charge of a slice is told.
+    pub fn save(&self, now: Seconds, slice: SliceId) -> Option<SliceState> {
+        let slice = self.slices.get(&slice)?;
+        let (rate, rests) = (self.rate(slice), (slice.rests_until - now).max(0.0));
+        Some(SliceState { rate, rests, home: slice.home })
+    }
+
+    /// Takes that in, so long after it was saved. What a slice brought is presumed until it is heard of.
+    pub fn restore(&mut self, now: Seconds, slice: SliceId, state: &SliceState, age: Seconds) {
+        let known = self.slices.get_mut(&slice).filter(|slice| age <= UNHEARD && !slice.is_heard());
+        let Some(slice) = known else { return };
+        slice.presumed = state.rate;
+        slice.rests_until = now + (state.rests - age).max(0.0);
+        slice.home = state.home;
+    }
+
     fn hear_tries(&mut self, now: Seconds, sum: &TrySum) {
         let size = self.hosts.get(&sum.host).map_or(0.0, |host| self.part_of(now, host));
         let sum = &TrySum { span: covered(now, self.charged_at, sum.span), ..sum.clone() };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -165,6 +165,17 @@
     pub lines: Vec<(HostId, f64)>,
 }
 
+/// What one that gives a slice up knows of it and its heir cannot: the heir hears the list and all sums itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SliceState {
+    /// Operations a second.
+    pub rate: f64,
+    /// Seconds until it may move again.
+    pub rests: Seconds,
+    /// The host it was taken from and goes back to.
+    pub home: Option<HostId>,
+}
+
 /// What the proxies of a zone met at a host.
 #[derive(Clone, Debug)]
 pub struct TrySum {
