--- a/crates/railhub-membership/src/grants.rs
+++ b/crates/railhub-membership/src/grants.rs
@@ -61,7 +61,10 @@
     pub fn start_again(&self, now: Seconds, start: u64) -> Grants {
         let base = (start.saturating_mul(EPOCHS_A_START)).max(self.base + 1);
         let quiet = if self.broken.not_quiet { 0.0 } else { self.longest };
-        Grants { base, quiet_until: now + quiet, ..self.clone() }
+        let mut again = Grants { base, quiet_until: now + quiet, ..self.clone() };
+        // Whom the copy names may have lost the slice since: it holds it if it renews, and not because of the copy.
+        again.holdings.values_mut().for_each(|held| (held.holder, held.until) = (None, now));
+        again
     }
 
     fn is_quiet(&self, now: Seconds) -> bool {
@@ -106,13 +109,14 @@
         if held.holder == Some(process) && held.epoch == epoch {
             return held.ask(now, process, span).is_some();
         }
-        // The store is behind: it never granted this. While it is quiet nobody else was given the slice since.
+        // While the store is quiet nobody was given the slice since: who renews it last had it.
+        if quiet && epoch >= held.epoch && (held.holder.is_none() || epoch > held.epoch) {
+            *held = Holding { epoch, holder: Some(process), until: now + span };
+            return true;
+        }
+        // It is behind, and this comes too late to be believed: what it grants next is above it.
         if epoch > held.epoch {
-            *held = match quiet {
-                true => Holding { epoch, holder: Some(process), until: now + span },
-                false => Holding { epoch, holder: None, until: now },
-            };
-            return quiet;
+            *held = Holding { epoch, holder: None, until: now };
         }
         false
     }
@@ -121,7 +125,7 @@
         let (quiet, base, reuses) = (self.is_quiet(now), self.base, self.broken.reuses_epochs);
         let held = self.holding(slice)?;
         let before = *held;
-        if quiet && before.holder != Some(process) {
+        if quiet {
             return None;
         }
         let mut epoch = held.ask(now, process, span)?;
@@ -179,6 +183,19 @@
         assert!(again.may_write(4, Epoch(7 * EPOCHS_A_START)) && !again.may_write(4, Epoch(2)));
     }
 
+    /// Found by drawn faults: a process that had stood still was given back, under its old epoch, what another had held.
+    #[test]
+    fn whom_an_older_copy_names_gets_nothing_by_it() {
+        let mut grants = Grants::new(3.0, Broken::default());
+        grants.answer(0.0, &ask(1, &[4], &[]));
+        let copy = grants.clone();
+        assert_eq!(grants.answer(5.0, &ask(2, &[4], &[])).says.granted, [(4, Epoch(2))]);
+        let mut again = copy.start_again(6.0, 9);
+        assert_eq!(again.answer(6.1, &ask(1, &[4], &[])).says.refused, [4]);
+        // The other has died meanwhile: nobody tells the store of epoch 2.
+        assert!(again.answer(9.5, &ask(1, &[4], &[])).says.granted[0].1 > Epoch(2));
+    }
+
     #[test]
     fn epochs_never_go_back_where_the_clock_of_starts_was_set_back() {
         let mut grants = Grants::new(3.0, Broken::default()).start_again(0.0, 100);
--- a/crates/railhub-steward/tests/handover.rs
+++ b/crates/railhub-steward/tests/handover.rs
@@ -1,5 +1,7 @@
 //! What one kernel tells of a slice that it gives up, and what the next one makes of it.
-use railhub::{Charge, ClassTerms, HostId, HostList, KindId, Listed, MarkId, Phase, ProxyId, Repeat, Seconds};
+use railhub::{
+    Charge, ClassTerms, HostId, HostList, KindId, Listed, MarkId, Phase, ProxyId, Repeat, Seconds,
+};
 use railhub::{SliceId, SliceState, Terms, ZoneId};
 use railhub_ini::Sheet;
 use railhub_proto::{SliceSum, Subscribe, Sums};
@@ -60,13 +62,15 @@
 }
 
 fn kernel(process: u64) -> Kernel<Sent> {
-    let text = "[steward]\nroster = 127.0.0.1:1\nstore = 127.0.0.1:1\nslices = 8\n[class any]\ncontract_time = 1\n\
+    let text =
+        "[steward]\nroster = 127.0.0.1:1\nstore = 127.0.0.1:1\nslices = 8\n[class any]\ncontract_time = 1\n\
                 [fleet]\nid = 1\ninstallation = test\nshare = yes\n";
     let installation = Installation::read(&Sheet::read("s.ini", text).expect("readable")).expect("right");
     let classes = vec![ClassTerms { contract_time: 1.0, gain: 1.0, repeat: Repeat::Safe }];
     let terms = Terms { classes, ..installation.terms.clone() };
     let mut kernel = Kernel::new(Installation { terms, ..installation }, process, 0.0);
-    let entry = |n| Listed { host: host(n), phase: Phase::Ready, started: None, weight: 4.0, kind: KindId(0) };
+    let entry =
+        |n| Listed { host: host(n), phase: Phase::Ready, started: None, weight: 4.0, kind: KindId(0) };
     kernel.hear_list(HostList { whole: true, entries: (1..4).map(entry).collect() });
     kernel
 }
