--- a/crates/railhub-membership/src/swim.rs
+++ b/crates/railhub-membership/src/swim.rs
@@ -8,6 +8,7 @@
 //! the others name is withdrawn: it lives, and bears no slices. Each names one at the most, so at most one can be
 //! named by most.
 mod joining;
+mod own;
 mod probing;
 mod slowness;
 
@@ -272,29 +273,6 @@
         self.table.others().filter(|entry| entry.standing.lives()).map(|entry| entry.about)
     }
 
-    /// We hand our slices over; the others learn of it.
-    pub fn drain(&mut self) {
-        self.table.rewrite(|card| card.drains = true);
-        self.rumours.tell_first(self.table.me().clone());
-    }
-
-    /// The store does not answer us, or does again; the others learn of it.
-    pub fn set_no_store(&mut self, no_store: bool) {
-        if self.table.me().card.no_store != no_store {
-            self.table.rewrite(|card| card.no_store = no_store);
-            self.rumours.tell_first(self.table.me().clone());
-        }
-    }
-
-    /// It hands its slices over, and says so.
-    pub fn drains(&self, id: StewardId) -> bool {
-        self.table.get(id).is_some_and(|entry| entry.card.drains)
-    }
-
-    pub fn set_load(&mut self, load: Load) {
-        self.load = load;
-    }
-
     /// Messages sent so far.
     pub fn sent(&self) -> u64 {
         self.turn
@@ -628,16 +606,6 @@
         }
     }
 
-    /// Tells the others that we go.
-    pub fn leave(&mut self, _now: Seconds) -> Mail {
-        self.table.leave();
-        let mut mail = Mail::new();
-        for id in self.living().collect::<Vec<_>>() {
-            self.send(To::Steward(id), 0, Ask::Tell, Vec::new(), &mut mail);
-        }
-        mail
-    }
-
     /// Our life, for the log.
     pub fn life(&self) -> Life {
         self.table.me().life
--- /dev/null
+++ b/crates/railhub-membership/src/swim/own.rs
@@ -0,0 +1,37 @@
+//! What a steward tells of itself: that it hands its slices over, has no store, is so loaded, goes.
+use super::*;
+
+impl Members {
+    /// We hand our slices over; the others learn of it.
+    pub fn drain(&mut self) {
+        self.table.rewrite(|card| card.drains = true);
+        self.rumours.tell_first(self.table.me().clone());
+    }
+
+    /// The store does not answer us, or does again; the others learn of it.
+    pub fn set_no_store(&mut self, no_store: bool) {
+        if self.table.me().card.no_store != no_store {
+            self.table.rewrite(|card| card.no_store = no_store);
+            self.rumours.tell_first(self.table.me().clone());
+        }
+    }
+
+    /// It hands its slices over, and says so.
+    pub fn drains(&self, id: StewardId) -> bool {
+        self.table.get(id).is_some_and(|entry| entry.card.drains)
+    }
+
+    pub fn set_load(&mut self, load: Load) {
+        self.load = load;
+    }
+
+    /// Tells the others that we go.
+    pub fn leave(&mut self, _now: Seconds) -> Mail {
+        self.table.leave();
+        let mut mail = Mail::new();
+        for id in self.living().collect::<Vec<_>>() {
+            self.send(To::Steward(id), 0, Ask::Tell, Vec::new(), &mut mail);
+        }
+        mail
+    }
+}
