--- a/crates/railhub-rules/src/sharing.rs
+++ b/crates/railhub-rules/src/sharing.rs
@@ -12,9 +12,12 @@
     vec![one_steward(events), never_back(events), not_past(events), granted_alone(events), not_twice(events)]
 }
 
+/// Deltas that reached a proxy, by proxy, steward and nonce.
+type Got<'a> = BTreeMap<(u32, u32, u64), Vec<(f64, &'a Received)>>;
+
 /// Deltas with the word that their proxy had on them.
 fn obeyed(events: &[Event]) -> Vec<(f64, &Received, &Answered)> {
-    let mut waiting: BTreeMap<(u32, u32, u64), Vec<(f64, &Received)>> = BTreeMap::new();
+    let mut waiting = Got::new();
     let mut all = Vec::new();
     for event in events {
         match &event.what {
