--- a/crates/railhub-cli/src/steward.rs
+++ b/crates/railhub-cli/src/steward.rs
@@ -90,7 +90,18 @@
             let (dropped, looks_dropped) = (fleet.dropped.all(), fleet.looks_dropped);
             let causes = serde_json::to_string(&fleet.dropped)?;
             let (alive, sent, heard) = (fleet.alive, fleet.sent, fleet.heard);
-            tracing::info!(alive, sent, heard, dropped, causes, looks_dropped, "figures of the fleet");
+            let (charges, tables_refused) = (fleet.charges, fleet.tables_refused);
+            tracing::info!(
+                alive,
+                sent,
+                heard,
+                dropped,
+                causes,
+                looks_dropped,
+                charges,
+                tables_refused,
+                "figures of the fleet"
+            );
         }
         let figures = running.figures();
         tracing::info!(
--- a/crates/railhub-steward/src/fleet.rs
+++ b/crates/railhub-steward/src/fleet.rs
@@ -120,7 +120,7 @@
             ("lease end", Some(Defence::LeaseEnd)),
         ];
         let own = |section: &str, key: &str| {
-            section == "fleet" && key != "installation"
+            section == "fleet" && !matches!(key, "installation" | "share" | "lease")
                 || section == "steward" && matches!(key, "listen" | "traffic")
         };
         let terms = FleetTerms {
