A new subscription no longer empties the count of what waits in the channel

In both the steward's log has "a new file counts" (SIGHUP), "subscribed to the relay's news source=2" 2 ms later, and the next handing over of slices at once (seed 2: 54 slices at 8.985 and again at 9.139). Cause: what stands is told whole after each subscription, and the module took each proxy told to stand for one that had left (brain.rs, `round`: awaited.remove for every change), so that all that waited in the channel counted as gone and as much again was let in.

Change: a proxy that stood already keeps what waits for it. Its confirmations may have gone unheard between the two subscriptions: one mark alone asks again, as it confirms all before it; and after 20 s a delta counts as lost, so that marks that get lost again and again don't shut the channel for ever.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -87,6 +87,9 @@
 const LEVEL_STEP: f64 = 0.02;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
+/// Seconds after which a delta that nobody confirmed does not count as waiting: confirmations get lost, and a
+/// full backlog takes some two seconds, on a channel at an eighth of its pace under this.
+const MARK_LOST: Seconds = 20.0;
 /// Share of the backlog limit that deltas may fill, and ordinary ones: what is urgent must not wait long.
 const BACKLOG_USE: f64 = 0.9;
 const ORDINARY_USE: f64 = 0.75;
@@ -278,6 +281,7 @@
 /// A delta on its way: lines for each proxy, and the proxies that have not confirmed it.
 struct Delta {
     mark: MarkId,
+    sent_at: Seconds,
     lines: f64,
     awaited: BTreeSet<ProxyId>,
 }
@@ -327,6 +331,8 @@
     moves_at: Seconds,
     sent: Vec<Seconds>,
     deltas: Vec<Delta>,
+    /// Confirmations may have gone unheard: one more mark asks for them, as it confirms all before it.
+    unsure: bool,
     mark: u16,
     /// Hosts once shut out of all tables, and whether they are now; `None`: some proxy may not know.
     shut: BTreeMap<HostId, Option<bool>>,
@@ -365,9 +371,13 @@
                 self.shut.extend(self.hosts.keys().filter(|_| restarted).map(|host| (*host, None)));
                 self.shut.values_mut().for_each(|state| *state = None);
             }
-            self.proxies.remove(&change.proxy);
+            let stood = self.proxies.remove(&change.proxy);
             self.proxies.extend(change.up.then_some(change.proxy));
-            self.deltas.iter_mut().for_each(|delta| _ = delta.awaited.remove(&change.proxy));
+            // What waits for one that stood all along still does, or was confirmed unheard.
+            self.unsure |= change.up && stood;
+            if !(change.up && stood) {
+                self.deltas.iter_mut().for_each(|delta| _ = delta.awaited.remove(&change.proxy));
+            }
         }
         round.confirmed.iter().for_each(|confirmed| self.hear_confirmed(confirmed));
         if self.terms.slices == 0 {
@@ -830,6 +840,7 @@
             return;
         }
         let proxies = self.proxies.len().max(1) as f64;
+        self.deltas.retain(|delta| now - delta.sent_at < MARK_LOST);
         let waiting: f64 = self.deltas.iter().map(|delta| delta.lines * delta.awaited.len() as f64).sum();
         // Each message bears the mark and all levels besides its lines.
         let empty = self.terms.message_cost + 1.0 + self.levels.len() as f64;
@@ -866,11 +877,15 @@
             changed.into_iter().for_each(|line| orders.set_line(id, line.0, line.1));
             slice.written = wanted;
         }
-        if lines > empty {
+        self.unsure &= !self.deltas.is_empty();
+        let asks = self.unsure && waiting + proxies * empty <= self.terms.backlog;
+        if lines > empty || asks {
+            self.unsure = false;
             self.mark = self.mark.wrapping_add(1);
             orders.mark(MarkId(self.mark));
             self.sent.push(now);
-            self.deltas.push(Delta { mark: MarkId(self.mark), lines, awaited: self.proxies.clone() });
+            let (mark, awaited) = (MarkId(self.mark), self.proxies.clone());
+            self.deltas.push(Delta { mark, sent_at: now, lines, awaited });
         }
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -487,6 +487,46 @@
     assert!(steward.deltas.is_empty());
 }
 
+#[test]
+fn what_waits_for_a_proxy_that_is_told_to_stand_again_still_fills_the_backlog_until_a_mark_frees_it() {
+    let mut steward = steward(Terms { backlog: 50.0, message_cost: 0.0, ..terms() });
+    let mut written = Written::default();
+    steward.deltas.clear();
+    // Owners move to and fro, and a new subscription tells before each turn that both proxies stand.
+    let stand = || (0..2).map(|k| StreamChange { proxy: ProxyId(k), up: true, first: true }).collect();
+    for k in 0..6 {
+        steward.slices.values_mut().for_each(|slice| slice.owner = Some(host(1 + k % 2)));
+        steward.stand_by(&BTreeMap::new());
+        steward.round(&Round { streams: stand(), ..turn(200.0 + f64::from(k)) }, &mut written);
+        let said = written.lines.len() + written.shut.len() + 3 * written.marks.len();
+        assert!(2.0 * said as f64 <= 50.0, "{said} lines for each of two proxies, none confirmed");
+    }
+    // Both confirmed unheard: the mark that asks again is confirmed for all that came before it.
+    let mark = *written.marks.last().expect("marked");
+    (0..2).for_each(|k| steward.hear_confirmed(&Confirmed { proxy: ProxyId(k), mark }));
+    assert!(steward.deltas.is_empty());
+    steward.round(&turn(206.0), &mut written);
+    assert!(!steward.unsure && written.marks.last() > Some(&mark), "tables are written again");
+    // Should that mark's confirmations be lost as well, and the next ones', the channel is not shut for ever.
+    let before = written.lines.len();
+    steward.slices.values_mut().for_each(|slice| slice.owner = Some(host(1)));
+    steward.round(&turn(206.0 + MARK_LOST), &mut written);
+    assert!(steward.deltas.len() == 1 && written.lines.len() > before);
+}
+
+#[test]
+fn lost_confirmations_are_asked_for_by_a_mark_alone() {
+    let mut steward = steward(terms());
+    let mut written = Written::default();
+    (0..3).for_each(|k| steward.round(&turn(101.0 + f64::from(k)), &mut written));
+    let (marks, waits) = (written.marks.len(), steward.deltas.len());
+    assert!(waits > 0, "nobody confirmed the first tables");
+    let stands = (0..2).map(|k| StreamChange { proxy: ProxyId(k), up: true, first: true }).collect();
+    steward.round(&Round { streams: stands, ..turn(110.0) }, &mut written);
+    (0..3).for_each(|k| steward.round(&turn(111.0 + f64::from(k)), &mut written));
+    assert_eq!((written.marks.len(), steward.deltas.len()), (marks + 1, waits + 1), "once");
+}
+
 #[test]
 fn without_slices_all_hosts_are_one_table_and_each_proxy_gets_it() {
     let mut steward = Steward::new(Terms { slices: 0, ..terms() });
