A rush of urgent verdicts leaves messages for the next drain

Ruled out: a late page (all five had it within 0.15 s), a lost or slow call (longest 0.001 s), a full backlog (waiting: 0). At fault: brain.rs, `flush`, which lets urgent deltas have the whole allowance as fast as they come.

Change: past 0.45 of the allowance deltas leave once a turn; ten at once and one a second after it never use up twenty in ten seconds, so a drain waits a turn at most. The constant follows from the settings' own span and cap and the turn.

Measured: the new test fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -85,6 +85,9 @@
 const LEVEL_FALL: f64 = 0.3;
 const LEVEL_RISE: f64 = 0.1;
 const LEVEL_STEP: f64 = 0.02;
+/// Share of the allowance of messages past which deltas leave once a turn: with a span of some ten turns, the
+/// rest then lasts until the first of them count no more, and none waits longer than a turn.
+const AT_ONCE: f64 = 0.45;
 /// Messages of the allowance kept back for urgent deltas.
 const URGENT_MESSAGES: usize = 6;
 /// Seconds after which a delta that nobody confirmed does not count as waiting: confirmations get lost, and a
@@ -396,7 +399,7 @@
                 self.set_levels(&loads);
             }
             self.stand_by(&loads);
-            self.flush(now, orders);
+            self.flush(now, turn, orders);
         }
         if turn {
             if self.terms.may_probe {
@@ -824,7 +827,7 @@
 
     /// Writes what differs from the standing tables, the most urgent first, within the message allowance and
     /// the backlog. What waits in the channel is known from marks: it may be several times slower than usual.
-    fn flush(&mut self, now: Seconds, orders: &mut impl Orders) {
+    fn flush(&mut self, now: Seconds, turn: bool, orders: &mut impl Orders) {
         let mut due: Vec<_> = (self.slices.iter())
             .map(|(id, slice)| (self.wanted(slice), *id))
             .filter(|((_, wanted), id)| *wanted != self.slices[id].written)
@@ -836,7 +839,9 @@
         self.sent.retain(|at| *at >= now - self.terms.messages_span);
         let cap = if self.terms.message_cap == 0 { usize::MAX } else { self.terms.message_cap as usize };
         let kept = if urgent { 1 } else { URGENT_MESSAGES };
-        if self.sent.len() + kept >= cap {
+        // Guards drains against a rush of verdicts, each a delta of its own, that leaves no message for seconds.
+        let rushed = !turn && self.sent.len() as f64 >= cap as f64 * AT_ONCE;
+        if rushed || self.sent.len() + kept >= cap {
             return;
         }
         let proxies = self.proxies.len().max(1) as f64;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -399,7 +399,7 @@
     steward.set_levels(&loads);
     assert!(steward.levels[0] < 1.0 && steward.levels[1] == 1.0);
     let mut written = Written::default();
-    steward.flush(101.0, &mut written);
+    steward.flush(101.0, true, &mut written);
     assert!(written.levels.iter().all(|level| level.2 == SecondTry::Never));
 }
 
@@ -413,7 +413,7 @@
         let loads = steward.loads(101.0);
         steward.set_levels(&loads);
         let mut written = Written::default();
-        steward.flush(101.0, &mut written);
+        steward.flush(101.0, true, &mut written);
         assert_eq!(written.levels[0], (ClassId(0), 1.0, way));
     }
 }
@@ -456,15 +456,15 @@
     steward.sent = (0..14).map(|_| 101.0).collect();
     steward.levels[0] = 0.5;
     let mut written = Written::default();
-    steward.flush(101.0, &mut written);
+    steward.flush(101.0, true, &mut written);
     assert!(written.levels.is_empty());
     steward.hosts.get_mut(&host(1)).expect("listed").phase = Phase::Draining;
     steward.slices.values_mut().for_each(|slice| slice.owner = slice.owner.map(|o| o.max(host(2))));
-    steward.flush(101.0, &mut written);
+    steward.flush(101.0, true, &mut written);
     assert_eq!(written.levels.len(), 2);
     steward.sent = (0..19).map(|_| 101.0).collect();
     steward.levels[0] = 0.4;
-    steward.flush(101.0, &mut written);
+    steward.flush(101.0, true, &mut written);
     assert_eq!(written.levels.len(), 2);
 }
 
@@ -475,12 +475,12 @@
     let mut written = Written::default();
     steward.deltas.clear();
     steward.slices.values_mut().for_each(|slice| slice.standby = Some(host(4)));
-    steward.flush(200.0, &mut written);
+    steward.flush(200.0, true, &mut written);
     let ordinary = written.lines.len();
     assert!(ordinary < 16, "{ordinary}");
     steward.hosts.get_mut(&host(1)).expect("listed").phase = Phase::Draining;
     steward.slices.values_mut().for_each(|slice| slice.owner = slice.owner.map(|o| o.max(host(2))));
-    steward.flush(201.0, &mut written);
+    steward.flush(201.0, true, &mut written);
     assert_eq!(written.shut, [(host(1), true)]);
     let mark = *written.marks.last().expect("marked");
     (0..2).for_each(|k| steward.hear_confirmed(&Confirmed { proxy: ProxyId(k), mark }));
@@ -514,6 +514,31 @@
     assert!(steward.deltas.len() == 1 && written.lines.len() > before);
 }
 
+#[test]
+fn a_rush_of_urgent_deltas_leaves_messages_for_a_drain() {
+    let mut steward = steward(terms());
+    let mut sent = Vec::new();
+    let mut write = |steward: &mut Steward, round: Round| {
+        let mut written = Written::default();
+        steward.round(&round, &mut written);
+        sent.extend(written.marks.iter().map(|_| round.now));
+        written
+    };
+    // Ten times a second some slice loses its only host: each loss is urgent. Turns go on beside.
+    for k in 0..60 {
+        let now = 111.0 + 0.1 * f64::from(k);
+        let slice = steward.slices.get_mut(&SliceId(k as u16 % 12)).expect("in charge");
+        (slice.written, slice.owner, slice.standby) = (vec![(host(9), 1.0)], Some(host(2)), None);
+        let round = if k % 10 == 0 { turn(now) } else { news(now, Vec::new()) };
+        write(&mut steward, round);
+    }
+    let drains = write(&mut steward, news(117.0, vec![listed(1, Phase::Draining, None)]));
+    let later = write(&mut steward, turn(117.9));
+    assert!(drains.shut.iter().chain(&later.shut).any(|shut| *shut == (host(1), true)), "within a turn");
+    let most = sent.iter().map(|from| sent.iter().filter(|at| (0.0..10.0).contains(&(**at - from))).count());
+    assert!(most.max().is_some_and(|most| (10..20).contains(&most)));
+}
+
 #[test]
 fn lost_confirmations_are_asked_for_by_a_mark_alone() {
     let mut steward = steward(terms());
