What stands settles a call of no known end, and no answer is lost to what stands

Said again 0.1 s later, the call waited in the channel twice: the relay had carried it out. At fault: orders.rs, `Waiting::call`, and owner.rs, `end_call`, which repeated it unseen. Ruled out for both: a second steward (one owner of each slice in all logs), the module's count (it had the lines of the one call).

Change, all in the core: - A call of no known end is followed by a new subscription, and no call leaves before what stands shows how it ended: where the tables have its lines it is not said again. A subscription asked for before the call ended shows nothing. - Lines taken since a subscription was asked for are put over what it tells, whichever comes first. - A subscription has an id of its own (file, count): an older file's follower, however late, neither replaces a newer one's words nor closes its line (`Standing::take_over`), and what it was telling when its line ended counts for nothing, where half of what stands passed for the whole after 1.5 s. - A slice given anew while a call about it is out is asked about: the line may be on either table. - A level for a class without a name is dropped, where it was said of all classes (`*`). - Where a slice has one owner, a line that waits replaces the table in what is reckoned to stand.

The test of one more sign of life said that an unknown call is repeated at once; it is replaced by three that want it repeated only if it was not carried out.

--- a/crates/railhub-cli/tests/platform.rs
+++ b/crates/railhub-cli/tests/platform.rs
@@ -263,7 +263,13 @@
         eventually("the call comes again", || {
             relay.calls().len() > before + usize::from(mood != Mood::Takes)
         });
-        assert!(relay.calls()[before..].iter().all(|call| wanted(call) == first), "in order, unchanged");
+        // Until it is taken nothing else is said; what follows then does not say it again.
+        let calls = relay.calls();
+        let until = if mood == Mood::Takes { before + 1 } else { calls.len() };
+        for call in &calls[before..until] {
+            assert_eq!(wanted(call), first, "in order, unchanged");
+        }
+        assert!(calls[until..].iter().all(|call| !call.contains("share")), "{calls:?}");
     }
     eventually("the watch", || {
         watches.lock().expect("alive")[0].contains("/discovery/hosts?watch=1&after=41 ")
--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use railhub::Seconds;
 use railhub_net::seconds;
-use railhub_platform::news::{Answer, News};
+use railhub_platform::news::Answer;
 use railhub_platform::{Assignment, Desk};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -48,8 +48,6 @@
     shared: Arc<Shared>,
     calls: Calls,
     probes: Probes,
-    /// The subscription whose news counts.
-    source: u64,
     call_not_before: Seconds,
     called_at: Seconds,
     /// When the oldest report came that no call has followed yet, and that of the call which is out.
@@ -69,7 +67,6 @@
             shared: shared.clone(),
             calls,
             probes,
-            source: 0,
             call_not_before: 0.0,
             called_at: 0.0,
             reported_at: None,
@@ -127,14 +124,9 @@
                     tracing::info!(generation, hosts, whole, "the host list has news");
                 }
             }
-            Word::News(source, news) => {
-                if source > self.source && news == News::Subscribed {
-                    self.source = source;
-                }
-                if source == self.source {
-                    self.desk.hear_news(now(), news);
-                }
-            }
+            Word::Asked(source) => self.desk.hear_asked(source),
+            Word::News(source, news) => self.desk.hear_news(now(), source, news),
+            Word::Ended(source) => self.desk.hear_ended(source),
             Word::Probe(result) => {
                 tracing::debug!(?result, "probe");
                 self.desk.hear_probe(result);
@@ -175,14 +167,9 @@
         }
         self.shown.rounds += asked.rounds;
         self.shown.longest_round = self.shown.longest_round.max(now() - began);
-        if self.desk.must_ask_anew() {
-            tracing::error!("orders were dropped for want of room: what the relay holds is asked for anew");
-            self.shared
-                .news_line
-                .lock()
-                .expect("no holder panics")
-                .iter()
-                .for_each(railhub_net::Closer::close);
+        if let Some(why) = self.desk.must_ask_anew() {
+            tracing::warn!(why, "what the relay holds is asked for anew");
+            self.shared.news_line.close();
         }
     }
 
--- a/crates/railhub-platform-net/src/relay.rs
+++ b/crates/railhub-platform-net/src/relay.rs
@@ -4,7 +4,7 @@
 use may::sync::Semphore;
 use railhub::Seconds;
 use railhub_net::{dial, go, now, seconds, Guard};
-use railhub_platform::news::{self, Answer, News};
+use railhub_platform::news::{self, Answer, News, SubscriptionId};
 use railhub_platform::orders::Call;
 use railhub_proto::Lines;
 use std::io::{Read, Write};
@@ -42,14 +42,29 @@
 }
 
 fn listen(shared: &Arc<Shared>, addresses: Addresses, failing: &mut bool) -> String {
+    let count = shared.asked.fetch_add(1, Ordering::Relaxed) + 1;
+    let source = SubscriptionId { file: addresses.version, count };
+    // The owner knows before the relay can.
+    shared.inbox.tell(Word::Asked(source));
+    let why = subscribe(shared, addresses, source, failing);
+    shared.inbox.tell(Word::Ended(source));
+    why
+}
+
+fn subscribe(
+    shared: &Arc<Shared>,
+    addresses: Addresses,
+    source: SubscriptionId,
+    failing: &mut bool,
+) -> String {
     let mut stream = match dial(addresses.relay, CONNECT) {
         Ok(stream) => stream,
         Err(fault) => return format!("cannot connect: {fault}"),
     };
     let _held = Holds::one(&shared.held.relay);
     let guard = Guard::both_ways(&stream, SILENT);
-    let source = shared.counts.subscriptions.fetch_add(1, Ordering::Relaxed) + 1;
-    if let Err(fault) = stream.write_all(&news::subscribe(source)) {
+    shared.counts.subscriptions.fetch_add(1, Ordering::Relaxed);
+    if let Err(fault) = stream.write_all(&news::subscribe(source.count)) {
         return format!("cannot subscribe: {fault}");
     }
     let mut lines = Lines::new(news::LINE_LIMIT);
@@ -57,17 +72,14 @@
         match next_line(&mut stream, &guard, &mut lines, news::read) {
             Ok(Ok(news)) => {
                 if news == News::Subscribed {
-                    if shared.addresses().version != addresses.version {
+                    if !shared.news_line.take_over(addresses.version, guard.closer()) {
                         return "a new file names another relay".into();
                     }
                     *failing = false;
+                    let source = source.count;
                     tracing::info!(source, relay = %addresses.relay, "subscribed to the relay's news");
-                    let line = Some(guard.closer());
-                    let older =
-                        std::mem::replace(&mut *shared.news_line.lock().expect("no holder panics"), line);
-                    older.iter().for_each(railhub_net::Closer::close);
                 }
-                tracing::trace!(source, ?news, "news");
+                tracing::trace!(source = source.count, ?news, "news");
                 shared.inbox.tell(Word::News(source, news));
             }
             Ok(Err(spoilt)) => {
--- a/crates/railhub-platform-net/src/shared.rs
+++ b/crates/railhub-platform-net/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of a steward share: its inbox, the addresses that count now, and counts for the log.
 use railhub::{DemandSum, ProbeResult, TrySum};
 use railhub_net::{Closer, Inbox};
-use railhub_platform::news::{Answer, News};
+use railhub_platform::news::{Answer, News, SubscriptionId};
 use railhub_platform::{Assignment, Names, Page, Spoilt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,8 +14,10 @@
 
 pub enum Word {
     Page(Page),
-    /// From which subscription, counted up.
-    News(u64, News),
+    /// A subscription is about to be asked for, brings news, is no more.
+    Asked(SubscriptionId),
+    News(SubscriptionId, News),
+    Ended(SubscriptionId),
     Probe(ProbeResult),
     /// How the call that was out ended; without an answer its outcome is not known.
     CallEnded(Option<Answer>),
@@ -44,6 +46,29 @@
     pub probes: AtomicUsize,
 }
 
+/// The line that stands for something, with the version of the file that named its peer. A newer one ends it; an older
+/// follower, however late it comes between two lines of ours, does not end a newer one's.
+#[derive(Default)]
+pub struct Standing(Mutex<Option<(u64, Closer)>>);
+
+impl Standing {
+    /// Whether the line stands now.
+    pub fn take_over(&self, version: u64, line: Closer) -> bool {
+        let mut standing = self.0.lock().expect("no holder panics");
+        if standing.as_ref().is_some_and(|(newer, _)| *newer > version) {
+            return false;
+        }
+        if let Some((_, older)) = standing.replace((version, line)) {
+            older.close();
+        }
+        true
+    }
+
+    pub fn close(&self) {
+        self.0.lock().expect("no holder panics").iter().for_each(|(_, line)| line.close());
+    }
+}
+
 #[derive(Default)]
 pub struct Counts {
     /// Messages and connections that were refused, by cause.
@@ -59,9 +84,11 @@
     pub names: Names,
     pub slices: u16,
     addresses: Mutex<Addresses>,
-    /// The subscription and the watch that stand, each ended once a newer one does.
-    pub news_line: Mutex<Option<Closer>>,
-    pub watch_line: Mutex<Option<Closer>>,
+    /// Subscriptions that were to be asked for, whether the relay could be reached or not.
+    pub asked: AtomicU64,
+    /// The subscription and the watch that stand.
+    pub news_line: Standing,
+    pub watch_line: Standing,
     pub held: Held,
     pub counts: Counts,
     pub owner: Mutex<crate::owner::Shown>,
@@ -78,8 +105,9 @@
                 relay: assignment.relay,
                 discovery: assignment.discovery,
             }),
-            news_line: Mutex::default(),
-            watch_line: Mutex::default(),
+            asked: AtomicU64::new(0),
+            news_line: Standing::default(),
+            watch_line: Standing::default(),
             held: Held::default(),
             counts: Counts::default(),
             owner: Mutex::default(),
--- a/crates/railhub-platform-net/src/watch.rs
+++ b/crates/railhub-platform-net/src/watch.rs
@@ -39,9 +39,9 @@
         Err(fault) => return fault,
     };
     let _held = Holds::one(&shared.held.discovery);
-    let line = Some(feed.closer());
-    let older = std::mem::replace(&mut *shared.watch_line.lock().expect("no holder panics"), line);
-    older.iter().for_each(railhub_net::Closer::close);
+    if !shared.watch_line.take_over(addresses.version, feed.closer()) {
+        return HttpFault::Ended;
+    }
     tracing::info!(discovery = %addresses.discovery, after = *generation, "watching the list");
     loop {
         let read = |line: &[u8]| (!line.is_empty()).then(|| discovery::read(line, &shared.names));
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -2,8 +2,8 @@
 //! What the relay says to stand replaces what the module believed of proxies, charges and lines.
 use crate::assignment::{Assignment, Names};
 use crate::discovery::Page;
-use crate::news::{Answer, News};
-use crate::orders::{Call, Draft, Order, Waiting};
+use crate::news::{Answer, News, SubscriptionId};
+use crate::orders::{put, Call, Draft, Order, Waiting, SAME_WEIGHT};
 use railhub::{
     Charge, DemandSum, HostId, HostList, Phase, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward,
     StreamChange, TimerId, TrySum,
@@ -17,9 +17,8 @@
 const LATER_QUIET: Seconds = 1.5;
 /// Seconds without a word after which a slice that was given has all its lines: they follow at once.
 const CHARGE_QUIET: Seconds = 0.02;
-/// By how much two weights of a line may differ and be the same: the relay tells weights in few decimals, so that a
-/// standby's comes back as 0.
-const SAME_WEIGHT: f64 = 0.005;
+/// Orders taken while a subscription has not told what stands: past them it is asked for anew.
+const TAKEN_MOST: usize = 20_000;
 /// Sums that a round may hold; further ones are dropped, as the next say more.
 const SUMS_A_ROUND: usize = 8192;
 
@@ -29,6 +28,7 @@
     proxies: BTreeMap<ProxyId, bool>,
     charges: BTreeMap<SliceId, Vec<(HostId, f64)>>,
     told_at: Seconds,
+    source: SubscriptionId,
 }
 
 /// What the desk asks of the sockets after a round, and tells the log.
@@ -46,11 +46,22 @@
     steward: Steward,
     names: Names,
     tick: Seconds,
+    single_owner: bool,
     round: Round,
     ran_at: Seconds,
     /// Something came since the last round.
     news: bool,
     standing: Option<Standing>,
+    /// The subscription whose news counts, and the newest that was asked for.
+    source: SubscriptionId,
+    asked: SubscriptionId,
+    /// Those asked for whose standing is not taken in, and lines that the relay took meanwhile, each with the newest
+    /// of them: what stands may have been told from before they were taken.
+    untold: BTreeSet<SubscriptionId>,
+    taken: Vec<(SubscriptionId, Order)>,
+    /// A call has no known end: only a subscription asked for after this one shows it, and no call leaves before.
+    doubt: Option<SubscriptionId>,
+    ask_anew: Option<&'static str>,
     /// The relay has told once what stands: until then nothing is ordered.
     informed: bool,
     charges_at: Seconds,
@@ -70,10 +81,17 @@
             steward: Steward::new(assignment.terms.clone()),
             names: assignment.names.clone(),
             tick: assignment.tick,
+            single_owner: assignment.terms.single_owner,
             round: Round::default(),
             ran_at: 0.0,
             news: true,
             standing: None,
+            source: SubscriptionId::default(),
+            asked: SubscriptionId::default(),
+            untold: BTreeSet::new(),
+            taken: Vec::new(),
+            doubt: None,
+            ask_anew: None,
             informed: false,
             charges_at: 0.0,
             charges: Vec::new(),
@@ -81,7 +99,7 @@
             generation: 0,
             addresses: BTreeMap::new(),
             proxies: BTreeSet::new(),
-            waiting: Waiting::default(),
+            waiting: Waiting::new(&assignment.terms),
             calling: false,
             sums_dropped: 0,
         };
@@ -138,9 +156,29 @@
         self.news = true;
     }
 
-    pub fn hear_news(&mut self, now: Seconds, news: News) {
-        if news == News::Subscribed {
-            self.standing = Some(Standing { told_at: now, ..Standing::default() });
+    /// A subscription is about to be asked for: to be told before the relay can know.
+    pub fn hear_asked(&mut self, source: SubscriptionId) {
+        self.asked = self.asked.max(source);
+        self.untold.insert(source);
+    }
+
+    /// Its line is no more. What it was just telling to stand was not told whole and counts for nothing.
+    pub fn hear_ended(&mut self, source: SubscriptionId) {
+        self.standing = self.standing.take().filter(|standing| standing.source != source);
+        self.untold.remove(&source);
+        self.drop_taken();
+    }
+
+    /// Only the newest subscription counts, whatever an older one still says.
+    pub fn hear_news(&mut self, now: Seconds, source: SubscriptionId, news: News) {
+        if news == News::Subscribed && source > self.source {
+            self.source = source;
+            self.standing = Some(Standing { told_at: now, source, ..Standing::default() });
+            if self.doubt.is_some_and(|doubt| source <= doubt) {
+                self.ask_anew = Some("it was asked for before a call ended that has no known end");
+            }
+        }
+        if news == News::Subscribed || source != self.source {
             return;
         }
         if let Some(standing) = &mut self.standing {
@@ -151,8 +189,17 @@
             match news {
                 News::Joined { proxy, first } => _ = standing.proxies.insert(proxy, first),
                 News::Left(proxy) => _ = standing.proxies.remove(&proxy),
-                News::Given { slice, on: true } => _ = standing.charges.insert(slice, Vec::new()),
-                News::Given { slice, on: false } => _ = standing.charges.remove(&slice),
+                News::Given { slice, on } => {
+                    // Told before in what stands, it changed hands since.
+                    let changed = standing.charges.remove(&slice).is_some();
+                    if on {
+                        standing.charges.insert(slice, Vec::new());
+                    }
+                    if changed {
+                        self.taken.retain(|(_, order)| !matches!(order, Order::Line(of, ..) if *of == slice));
+                        self.forget(slice, on);
+                    }
+                }
                 News::Held { slice, host, weight } => {
                     standing.charges.entry(slice).or_default().push((host, weight));
                 }
@@ -168,8 +215,7 @@
             News::Applied(confirmed) => self.round.confirmed.push(confirmed),
             News::Given { slice, on } => {
                 self.charges_at = now;
-                // Orders that still wait are about the table as it was before.
-                self.waiting.forget(slice);
+                self.forget(slice, on);
                 self.charges.push(Charge { slice, given: on, lines: Vec::new() });
             }
             News::Held { slice, host, weight } => {
@@ -180,6 +226,18 @@
         }
     }
 
+    /// Orders that still wait are about the table as it was before, and so are those which are out: when they are
+    /// carried out, before or after it was given, only the relay can tell.
+    fn forget(&mut self, slice: SliceId, given: bool) {
+        if self.waiting.forget(slice) && given {
+            self.doubt("a slice was given while a call about it was out");
+        }
+    }
+
+    fn doubt(&mut self, why: &'static str) {
+        (self.doubt, self.ask_anew) = (Some(self.asked), Some(why));
+    }
+
     /// A line of a table that was given: just now, or so long ago that the module knows the slice already.
     fn hold(&mut self, slice: SliceId, host: HostId, weight: f64) {
         let pending = self.round.charges.iter_mut().chain(&mut self.charges);
@@ -208,7 +266,16 @@
 
     /// What the relay told to stand replaces what was believed.
     fn take_standing(&mut self) {
-        let Some(standing) = self.standing.take() else { return };
+        self.settle_call();
+        let Some(mut standing) = self.standing.take() else { return };
+        for (asked, order) in &self.taken {
+            let Order::Line(slice, host, weight) = order else { continue };
+            if let Some(lines) = standing.charges.get_mut(slice).filter(|_| standing.source <= *asked) {
+                put(lines, *host, *weight, self.single_owner);
+            }
+        }
+        self.untold.retain(|source| *source > standing.source);
+        self.drop_taken();
         self.informed = true;
         self.news = true;
         // Charges told before this subscription are part of what stands; that a proxy left before it is not.
@@ -232,6 +299,24 @@
         self.round.charges.extend(taken);
     }
 
+    /// What stands shows how a call ended that has no known end, if it was asked for since.
+    fn settle_call(&mut self) {
+        let Some(charges) = self.shows_call().map(|standing| standing.charges.clone()) else { return };
+        self.waiting.settle(&charges);
+        self.doubt = None;
+    }
+
+    fn shows_call(&self) -> Option<&Standing> {
+        let doubt = self.doubt.filter(|_| !self.calling)?;
+        self.standing.as_ref().filter(|standing| standing.source > doubt)
+    }
+
+    fn drop_taken(&mut self) {
+        if self.untold.is_empty() {
+            self.taken.clear();
+        }
+    }
+
     fn standing_quiet(&self) -> Seconds {
         if self.informed {
             LATER_QUIET
@@ -243,11 +328,12 @@
     /// When [`Desk::act`] has something to do, if nothing comes in before.
     pub fn next_due(&self) -> Option<Seconds> {
         let standing = self.standing.as_ref().map(|standing| standing.told_at + self.standing_quiet());
+        let settled = self.shows_call().map(|standing| standing.told_at + FIRST_QUIET);
         let charges = (!self.charges.is_empty()).then_some(self.charges_at + CHARGE_QUIET);
         let timer = self.timers.iter().map(|(at, _)| *at).min_by(f64::total_cmp);
         let news = self.news.then_some(self.ran_at + self.tick);
         let running = [charges, timer, news].into_iter().flatten().filter(|_| self.informed);
-        running.chain(standing).min_by(f64::total_cmp)
+        running.chain(standing).chain(settled).min_by(f64::total_cmp)
     }
 
     /// Runs a round if one is due.
@@ -257,6 +343,9 @@
         if self.standing.as_ref().is_some_and(|standing| now - standing.told_at >= quiet) {
             self.take_standing();
         }
+        if self.standing.as_ref().is_some_and(|standing| now - standing.told_at >= FIRST_QUIET) {
+            self.settle_call();
+        }
         if !self.charges.is_empty() && now - self.charges_at >= CHARGE_QUIET {
             self.round.charges.append(&mut self.charges);
             self.news = true;
@@ -285,7 +374,7 @@
 
     /// The next call to the relay, if none is out: the caller must bring back how it ended.
     pub fn next_call(&mut self) -> Option<Call> {
-        if self.calling {
+        if self.calling || self.doubt.is_some() {
             return None;
         }
         let call = self.waiting.call(&self.names.classes);
@@ -293,26 +382,41 @@
         call
     }
 
-    /// How the call ended; `None`: not known, or it was not let in, so that it is to be made again. Tells the log
-    /// what was dropped.
+    /// How the call ended; `None`: not known, so that what stands must show it. Tells the log what was dropped.
     pub fn end_call(&mut self, answer: Option<Answer>) -> Option<String> {
         self.calling = false;
+        if self.doubt.is_some() {
+            self.doubt("a call ended while it was in doubt what stands");
+        }
         match answer {
-            None | Some(Answer::TurnedAway) => None,
+            None => {
+                self.doubt("a call has no known end");
+                None
+            }
+            Some(Answer::TurnedAway) => None,
             Some(Answer::Malformed) => {
                 let count = self.waiting.drop_call();
                 Some(format!("the relay cannot read a call: {count} orders are dropped"))
             }
             Some(Answer::Taken(count)) => {
-                let stopped: Option<Order> = self.waiting.taken(count);
+                let (taken, stopped) = self.waiting.taken(count);
+                if !self.untold.is_empty() {
+                    let asked = self.asked;
+                    self.taken.extend(taken.into_iter().map(|order| (asked, order)));
+                }
+                if self.taken.len() > TAKEN_MOST {
+                    self.taken.clear();
+                    self.doubt("a subscription takes long to tell what stands");
+                }
                 stopped.map(|order| format!("the relay does not take an order, which is dropped: {order:?}"))
             }
         }
     }
 
-    /// Orders were lost: what the relay holds must be asked for anew.
-    pub fn must_ask_anew(&mut self) -> bool {
-        std::mem::take(&mut self.waiting.overflowed)
+    /// Why what the relay holds must be asked for anew, if it must: by a new subscription.
+    pub fn must_ask_anew(&mut self) -> Option<&'static str> {
+        let overflowed = std::mem::take(&mut self.waiting.overflowed);
+        self.ask_anew.take().or(overflowed.then_some("orders were dropped for want of room"))
     }
 
     pub fn is_informed(&self) -> bool {
@@ -369,6 +473,8 @@
 mod tests {
     use super::*;
 
+    const NONE: SubscriptionId = SubscriptionId { file: 0, count: 0 };
+
     fn desk() -> Desk {
         Desk::new(&Assignment::read(include_str!("../tests/assignment.json")).expect("a good file"))
     }
@@ -377,9 +483,10 @@
     fn a_proxy_that_left_just_before_a_new_subscription_is_told_to_have_left() {
         let mut desk = desk();
         let (proxy, now) = (ProxyId(5), 1.0);
-        desk.hear_news(now, News::Joined { proxy, first: true });
-        desk.hear_news(now, News::Left(proxy));
-        [News::Subscribed, News::Ping].into_iter().for_each(|news| desk.hear_news(now, news));
+        desk.hear_news(now, NONE, News::Joined { proxy, first: true });
+        desk.hear_news(now, NONE, News::Left(proxy));
+        let first = SubscriptionId { file: 0, count: 1 };
+        [News::Subscribed, News::Ping].into_iter().for_each(|news| desk.hear_news(now, first, news));
         assert!(desk.round.streams.last().is_some_and(|change| change.proxy == proxy && !change.up));
     }
 
@@ -406,11 +513,11 @@
         let mut desk = desk();
         let (slice, host) = (SliceId(3), HostId::new("s-1").expect("a name"));
         desk.round.charges.push(Charge { slice, given: true, lines: Vec::new() });
-        desk.hear_news(1.0, News::Given { slice, on: false });
-        desk.hear_news(1.0, News::Held { slice, host, weight: 1.0 });
+        desk.hear_news(1.0, NONE, News::Given { slice, on: false });
+        desk.hear_news(1.0, NONE, News::Held { slice, host, weight: 1.0 });
         assert!(desk.charges[0].lines.is_empty() && desk.round.charges[0].lines.is_empty());
-        desk.hear_news(1.0, News::Given { slice, on: true });
-        desk.hear_news(1.0, News::Held { slice, host, weight: 1.0 });
+        desk.hear_news(1.0, NONE, News::Given { slice, on: true });
+        desk.hear_news(1.0, NONE, News::Held { slice, host, weight: 1.0 });
         assert_eq!(desk.charges[1].lines, [(host, 1.0)]);
     }
 }
--- a/crates/railhub-platform/src/news.rs
+++ b/crates/railhub-platform/src/news.rs
@@ -7,6 +7,14 @@
 /// Bytes of a line: a call is far shorter, and a piece of news shorter still.
 pub const LINE_LIMIT: usize = 64 << 10;
 
+/// One subscription of this process: by the file that named its relay, then in the order in which they were asked
+/// for. A follower of an older file may ask later and is older all the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SubscriptionId {
+    pub file: u64,
+    pub count: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum News {
     /// The subscription stands; what the relay holds follows.
--- a/crates/railhub-platform/src/orders.rs
+++ b/crates/railhub-platform/src/orders.rs
@@ -1,5 +1,5 @@
 //! What the module has ordered and the relay has not taken: folded, bounded, and said in calls.
-use railhub::{ClassId, HostId, MarkId, Orders, ProxyId, SecondTry, Seconds, SliceId, TimerId};
+use railhub::{ClassId, HostId, MarkId, Orders, ProxyId, SecondTry, Seconds, SliceId, Terms, TimerId};
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -53,16 +53,33 @@
             }
             Order::Shut(host, true) => Said::Withdraw { server: host.name() },
             Order::Shut(host, false) => Said::Restore { server: host.name() },
-            Order::Level(class, level, again) => {
-                let name = classes.get(usize::from(class.0)).map_or("*", String::as_str);
-                Said::Admit { classes: [name], level: *level, retry: retries(*again) }
-            }
+            Order::Level(class, level, again) => Said::Admit {
+                classes: [&classes[usize::from(class.0)]],
+                level: *level,
+                retry: retries(*again),
+            },
             Order::Mark(mark) => Said::Mark { ticket: mark.0, on: 1 },
         };
         serde_json::to_string(&said).expect("names and numbers can be said")
     }
 }
 
+/// By how much two weights of a line may differ and be the same: the relay tells weights in few decimals, so that a
+/// standby's comes back as 0.
+pub(crate) const SAME_WEIGHT: f64 = 0.005;
+
+/// Whether a table says of a host what a line orders.
+fn stands(lines: &[(HostId, f64)], host: HostId, weight: f64) -> bool {
+    let held = lines.iter().find(|line| line.0 == host);
+    held.map_or(weight == 0.0, |line| weight > 0.0 && (line.1 - weight).abs() <= SAME_WEIGHT)
+}
+
+/// What a line makes of a table; where a slice has one owner, a new one takes the old one's place.
+pub(crate) fn put(lines: &mut Vec<(HostId, f64)>, host: HostId, weight: f64, single_owner: bool) {
+    lines.retain(|line| line.0 != host && !(single_owner && weight > 0.0));
+    lines.extend((weight > 0.0).then_some((host, weight)));
+}
+
 fn retries(again: SecondTry) -> u8 {
     match again {
         SecondTry::Never => 0,
@@ -88,12 +105,17 @@
     next: u64,
     out: Vec<Order>,
     calls: u64,
+    single_owner: bool,
     /// Orders were dropped for want of room: the relay's tables are not what the module believes.
     pub overflowed: bool,
     pub folded: u64,
 }
 
 impl Waiting {
+    pub fn new(terms: &Terms) -> Waiting {
+        Waiting { single_owner: terms.single_owner, ..Waiting::default() }
+    }
+
     pub fn push(&mut self, order: Order) {
         let place = self.next;
         self.next += 1;
@@ -111,11 +133,13 @@
         }
     }
 
-    /// Lines of a table that wait are not ordered any more.
-    pub fn forget(&mut self, slice: SliceId) {
+    /// Lines of a table that wait are not ordered any more. Whether some of it are out: they may be carried out on
+    /// the table as it was or as it is now.
+    pub fn forget(&mut self, slice: SliceId) -> bool {
         let kept = |order: &Order| !matches!(order, Order::Line(of, ..) if *of == slice);
         self.queue.retain(|(_, order)| kept(order));
         self.places.retain(|about, _| !matches!(about, About::Line(of, _) if *of == slice));
+        !self.out.iter().all(kept)
     }
 
     /// Orders that wait or are out.
@@ -125,6 +149,9 @@
 
     /// The call to make now: what is out and not settled, said again, or else what waits.
     pub fn call(&mut self, classes: &[String]) -> Option<Call> {
+        // A class without a name cannot be said; said of all classes it would do harm.
+        let named = |order: &Order| !matches!(order, Order::Level(class, ..) if usize::from(class.0) >= classes.len());
+        self.queue.retain(|(_, order)| named(order));
         let again = !self.out.is_empty();
         if !again && self.queue.is_empty() {
             return None;
@@ -162,11 +189,33 @@
         self.out.push(order);
     }
 
-    /// The relay took so many of the call that is out. Hands back the one it stopped at, which is dropped; those
-    /// behind it are said again.
-    pub fn taken(&mut self, count: usize) -> Option<Order> {
-        self.out.drain(..count.min(self.out.len()));
-        (!self.out.is_empty()).then(|| self.out.remove(0))
+    /// The relay took so many of the call that is out, which are handed back with the one it stopped at: that is
+    /// dropped, and those behind it are said again.
+    pub fn taken(&mut self, count: usize) -> (Vec<Order>, Option<Order>) {
+        let taken = self.out.drain(..count.min(self.out.len())).collect();
+        (taken, (!self.out.is_empty()).then(|| self.out.remove(0)))
+    }
+
+    /// The call that is out has no known end, and this stands since: said again, what was carried out would wait in
+    /// the channel twice. A table shows it by the last line that was ordered of it. Where all tables do, the whole
+    /// call was carried out; else what they don't show is said again, but for tables that are held no more.
+    pub fn settle(&mut self, standing: &BTreeMap<SliceId, Vec<(HostId, f64)>>) {
+        let mut last = BTreeMap::new();
+        for order in &self.out {
+            if let Order::Line(slice, host, weight) = order {
+                last.insert(*slice, (*host, *weight));
+            }
+        }
+        let shown = |slice: &SliceId| {
+            let (host, weight) = last[slice];
+            standing.get(slice).is_none_or(|lines| stands(lines, host, weight))
+        };
+        let held = last.keys().any(|slice| standing.contains_key(slice));
+        if held && last.keys().all(shown) {
+            self.out.clear();
+        } else {
+            self.out.retain(|order| !matches!(order, Order::Line(slice, ..) if shown(slice)));
+        }
     }
 
     /// The call that is out can't be carried out.
@@ -176,19 +225,17 @@
 
     /// What a table will hold once all that is out and waits has been taken.
     pub fn settled(&self, slice: SliceId, stored: &[(HostId, f64)]) -> Vec<(HostId, f64)> {
-        let mut lines: BTreeMap<HostId, f64> = stored.iter().copied().collect();
+        let mut lines = stored.to_vec();
         for order in self.out.iter().chain(self.queue.iter().map(|(_, order)| order)) {
             match order {
-                Order::Line(of, host, weight) if *of == slice && *weight > 0.0 => {
-                    lines.insert(*host, *weight);
-                }
-                Order::Line(of, host, _) if *of == slice => {
-                    lines.remove(host);
+                Order::Line(of, host, weight) if *of == slice => {
+                    put(&mut lines, *host, *weight, self.single_owner);
                 }
                 _ => {}
             }
         }
-        lines.into_iter().collect()
+        lines.sort_by_key(|line| line.0);
+        lines
     }
 }
 
--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -1,8 +1,9 @@
 //! The desk with the real module: what the relay tells, what is ordered, and how calls end.
-use railhub::{HostId, ProxyId, SliceId};
-use railhub_platform::news::{Answer, News};
+use railhub::{ClassId, HostId, ProxyId, SecondTry, SliceId};
+use railhub_platform::news::{Answer, News, SubscriptionId};
 use railhub_platform::orders::{Call, Order, Waiting};
-use railhub_platform::{Assignment, Desk};
+use railhub_platform::{Assignment, Desk as Core};
+use std::ops::{Deref, DerefMut};
 
 const FILE: &str = include_str!("assignment.json");
 const START: f64 = 1_700_000_100.0;
@@ -28,6 +29,44 @@
     News::Joined { proxy: ProxyId(proxy), first: false }
 }
 
+/// A desk and the subscription that it hears; each further one is asked for as it comes.
+struct Desk {
+    core: Core,
+    source: SubscriptionId,
+}
+
+impl Desk {
+    fn new(assignment: &Assignment) -> Desk {
+        Desk { core: Core::new(assignment), source: SubscriptionId::default() }
+    }
+
+    fn ask(&mut self) {
+        self.source.count += 1;
+        self.core.hear_asked(self.source);
+    }
+
+    fn hear_news(&mut self, now: f64, news: News) {
+        if news == News::Subscribed {
+            self.ask();
+        }
+        self.core.hear_news(now, self.source, news);
+    }
+}
+
+impl Deref for Desk {
+    type Target = Core;
+
+    fn deref(&self) -> &Core {
+        &self.core
+    }
+}
+
+impl DerefMut for Desk {
+    fn deref_mut(&mut self) -> &mut Core {
+        &mut self.core
+    }
+}
+
 /// What stands, told by a fresh subscription.
 fn stands(desk: &mut Desk, now: f64, news: &[News]) {
     desk.hear_news(now, News::Subscribed);
@@ -85,23 +124,193 @@
     assert!(said.contains(r#""table":3,"server":"s-2""#) && !said.contains("\"table\":4"), "{said}");
 }
 
-#[test]
-fn a_line_that_waits_counts_as_held_when_the_relay_tells_what_stands() {
+fn orders(call: &Call) -> &str {
+    text(call).split_once("orders").expect("a commit").1
+}
+
+/// A desk that has ordered slice 3's standby, with that call out.
+fn with_a_call_out() -> (Desk, Call) {
     let mut desk = Desk::new(&assignment());
     stands(&mut desk, START, &[joined(1), given(3), held(3, 1)]);
     desk.act(START);
     let call = desk.next_call().expect("a standby is ordered");
+    (desk, call)
+}
+
+fn standby(weight: f64) -> News {
+    News::Held { slice: SliceId(3), host: host(2), weight }
+}
+
+#[test]
+fn a_line_that_waits_counts_as_held_when_the_relay_tells_what_stands() {
+    let (mut desk, call) = with_a_call_out();
     // The news breaks while the call is out; its line is not in what stands.
     stands(&mut desk, START + 0.1, &[joined(1), given(3), held(3, 1)]);
     desk.act(START + 0.1);
     assert!(desk.next_call().is_none(), "one call at a time");
+    assert!(desk.end_call(Some(Answer::Taken(call.count))).is_none());
+    desk.act(START + 0.2);
+    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")), "it was no difference");
+}
+
+#[test]
+fn a_call_without_known_end_is_said_again_once_what_stands_since_shows_that_it_was_not_carried_out() {
+    let (mut desk, call) = with_a_call_out();
     assert!(desk.end_call(None).is_none());
-    let again = desk.next_call().expect("an unknown end is settled first");
-    let orders = |call: &Call| text(call).split_once("orders").expect("a commit").1.to_owned();
+    assert!(desk.must_ask_anew().is_some(), "the relay alone can tell");
+    desk.act(START + 0.1);
+    assert!(desk.next_call().is_none(), "carried out, it would wait in the channel twice");
+    stands(&mut desk, START + 0.2, &[joined(1), given(3), held(3, 1)]);
+    desk.act(START + 0.2);
+    let again = desk.next_call().expect("it was not carried out");
     assert_eq!(orders(&again), orders(&call));
     assert!(again.id > call.id, "an answer to the first must not pass for this one's");
     desk.end_call(Some(Answer::Taken(again.count)));
-    assert!(desk.next_call().is_none(), "it was no difference, so nothing follows");
+    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+}
+
+#[test]
+fn a_call_without_known_end_that_was_carried_out_is_not_said_again() {
+    let (mut desk, _) = with_a_call_out();
+    desk.end_call(None);
+    stands(&mut desk, START + 0.2, &[joined(1), given(3), held(3, 1), standby(0.0)]);
+    desk.act(START + 0.2);
+    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+}
+
+#[test]
+fn a_subscription_asked_for_before_a_call_ended_shows_nothing_of_it() {
+    let (mut desk, _) = with_a_call_out();
+    desk.ask();
+    let early = desk.source;
+    desk.end_call(None);
+    assert!(desk.must_ask_anew().is_some());
+    // It was told before the call was carried out: by it the call would be said again.
+    for news in [News::Subscribed, joined(1), given(3), held(3, 1), News::Ping] {
+        desk.core.hear_news(START + 0.1, early, news);
+    }
+    desk.act(START + 0.3);
+    assert!(desk.next_call().is_none());
+    assert!(desk.must_ask_anew().is_some(), "one more is asked for");
+    stands(&mut desk, START + 0.4, &[joined(1), given(3), held(3, 1), standby(0.0)]);
+    desk.act(START + 0.4);
+    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+}
+
+#[test]
+fn what_stands_shows_a_call_before_all_of_it_counts() {
+    let (mut desk, _) = with_a_call_out();
+    desk.end_call(None);
+    desk.hear_news(START + 0.2, News::Subscribed);
+    [given(3), held(3, 1)].into_iter().for_each(|news| desk.hear_news(START + 0.2, news));
+    desk.act(START + 0.25);
+    assert!(desk.next_call().is_none(), "the rest may be on its way");
+    assert!(desk.next_due().is_some_and(|due| due < START + 0.35));
+    desk.act(START + 0.31);
+    assert!(desk.next_call().is_some(), "no sign of life need be waited for");
+}
+
+#[test]
+fn a_line_taken_after_what_stands_was_told_is_not_lost_to_it_in_either_order() {
+    // The relay tells slice 3 without the line, then takes the line; the answer overtakes the end of the telling,
+    // or even its begin, as the two come on connections of their own.
+    for answered_first in [true, false] {
+        let (mut desk, call) = with_a_call_out();
+        desk.ask();
+        let source = desk.source;
+        let told = [News::Subscribed, joined(1), given(3), held(3, 1)];
+        if !answered_first {
+            told.into_iter().for_each(|news| desk.core.hear_news(START + 0.1, source, news));
+        }
+        desk.end_call(Some(Answer::Taken(call.count)));
+        if answered_first {
+            told.into_iter().for_each(|news| desk.core.hear_news(START + 0.1, source, news));
+        }
+        desk.core.hear_news(START + 0.2, source, News::Ping);
+        desk.act(START + 0.2);
+        let said = desk.next_call();
+        assert!(!said.is_some_and(|call| text(&call).contains("share")), "answered first: {answered_first}");
+    }
+}
+
+#[test]
+fn half_of_what_stands_is_not_taken_for_the_whole_when_its_line_ends() {
+    let mut desk = Desk::new(&assignment());
+    stands(&mut desk, START, &[joined(1), joined(2), given(3), held(3, 1), given(4), held(4, 1)]);
+    settle(&mut desk, START);
+    desk.hear_news(START + 1.0, News::Subscribed);
+    [joined(1), given(3)].into_iter().for_each(|news| desk.hear_news(START + 1.0, news));
+    let source = desk.source;
+    desk.hear_ended(source);
+    // The relay stays away for long.
+    assert_eq!(settle(&mut desk, START + 20.0), "");
+    assert_eq!(desk.joined(), 2, "what was told whole before holds");
+    desk.hear_news(START + 21.0, News::Left(ProxyId(1)));
+    stands(&mut desk, START + 22.0, &[joined(1), given(3), held(3, 1), standby(0.0)]);
+    settle(&mut desk, START + 22.0);
+    assert_eq!(desk.joined(), 1);
+}
+
+#[test]
+fn a_first_telling_that_breaks_off_leaves_the_steward_uninformed() {
+    let mut desk = Desk::new(&assignment());
+    desk.hear_news(START, News::Subscribed);
+    desk.hear_news(START, given(3));
+    let source = desk.source;
+    desk.hear_ended(source);
+    assert_eq!(settle(&mut desk, START + 5.0), "");
+    assert!(!desk.is_informed());
+}
+
+#[test]
+fn an_older_files_subscription_counts_for_nothing_once_a_newer_files_stands() {
+    let mut desk = Core::new(&assignment());
+    let (older, newer) = (SubscriptionId { file: 0, count: 5 }, SubscriptionId { file: 1, count: 4 });
+    [older, newer].into_iter().for_each(|source| desk.hear_asked(source));
+    for news in [News::Subscribed, joined(1), given(3), held(3, 1), News::Ping] {
+        desk.hear_news(START, newer, news);
+    }
+    for news in [News::Subscribed, News::Left(ProxyId(1)), News::Ping] {
+        desk.hear_news(START + 0.1, older, news);
+    }
+    desk.hear_ended(older);
+    desk.hear_news(START + 0.2, newer, joined(2));
+    assert_eq!(desk.joined(), 2);
+}
+
+#[test]
+fn a_slice_given_while_a_call_about_it_is_out_is_asked_for_anew() {
+    let (mut desk, call) = with_a_call_out();
+    desk.hear_news(START + 0.1, News::Given { slice: SliceId(3), on: false });
+    assert!(desk.must_ask_anew().is_none(), "what is not held is changed by no order");
+    [given(3), held(3, 1)].into_iter().for_each(|news| desk.hear_news(START + 0.11, news));
+    assert!(desk.must_ask_anew().is_some(), "its line may be on the table as it is now");
+    desk.end_call(Some(Answer::Taken(call.count)));
+    assert!(desk.must_ask_anew().is_some() && desk.next_call().is_none(), "of which the end is seen now");
+    stands(&mut desk, START + 0.3, &[joined(1), given(3), held(3, 1), standby(0.0)]);
+    desk.act(START + 0.3);
+    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+}
+
+#[test]
+fn a_call_said_again_leaves_out_tables_that_are_held_no_more() {
+    let mut waiting = Waiting::default();
+    push_lines(&mut waiting, 3);
+    waiting.call(&[]).expect("a call");
+    // Slice 0 was carried out, slice 1 was not, slice 2 is another's now.
+    let standing = [(SliceId(0), vec![(host(1), 1.0)]), (SliceId(1), Vec::new())].into();
+    waiting.settle(&standing);
+    let again = waiting.call(&[]).expect("one line");
+    assert!(again.count == 1 && text(&again).contains("\"table\":1"), "{}", text(&again));
+}
+
+#[test]
+fn a_level_for_a_class_that_has_no_name_is_never_said_of_all() {
+    let mut waiting = Waiting::default();
+    waiting.push(Order::Level(ClassId(1), 0.5, SecondTry::Never));
+    waiting.push(Order::Level(ClassId(0), 0.7, SecondTry::Never));
+    let call = waiting.call(&["view".to_owned()]).expect("a call");
+    assert!(call.count == 1 && text(&call).contains("view") && !text(&call).contains('*'), "{}", text(&call));
 }
 
 #[test]
@@ -170,7 +379,7 @@
         assert!(call.bytes.len() < 60_000 && call.bytes.ends_with(b"]}}\n"));
         assert_eq!(text(&call).matches("\"op\"").count(), call.count);
         (calls, orders) = (calls + 1, orders + call.count);
-        assert!(waiting.taken(call.count).is_none());
+        assert!(waiting.taken(call.count).1.is_none());
     }
     assert_eq!((calls > 3, orders), (true, 5000));
 }
@@ -181,11 +390,11 @@
     push_lines(&mut waiting, 5);
     assert_eq!(waiting.call(&[]).expect("a call").count, 5);
     push_lines(&mut waiting, 6);
-    assert_eq!(waiting.taken(2), Some(Order::Line(SliceId(2), host(1), 1.0)));
+    assert_eq!(waiting.taken(2).1, Some(Order::Line(SliceId(2), host(1), 1.0)));
     let rest = waiting.call(&[]).expect("the rest of it first");
     assert_eq!(rest.count, 2);
     assert!(text(&rest).contains("\"table\":3") && text(&rest).contains("\"table\":4"));
-    assert!(waiting.taken(2).is_none());
+    assert!(waiting.taken(2).1.is_none());
     assert_eq!(waiting.call(&[]).expect("what came meanwhile").count, 6);
 }
 
