One owner at a time: an heir is named when the former owner's writes must have ended

Ruled out: calls said twice (none unknown in those logs), two stewards of one slice.

Change: a table is emptied first; the heir is named a write's life after all proxies that stand have confirmed that, and after the lease of those that left. Tables that come empty are asked about by a mark. Only hosts that must be left lose slices there: a move stops reads as well.

Measured: three new tests, each fails without the change.

--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -36,10 +36,13 @@
             },
         });
     }
+    let seconds_if_told = |name: &str| line.maybe(name).map_or(Ok(0.0), |_| line.seconds(name));
     let terms = Terms {
         classes,
         slices: line.get("family_info.key_ranges")?,
         single_owner: line.flag("family_info.exclusive")?,
+        write_lease: seconds_if_told("family_info.write_lease_us")?,
+        write_life: seconds_if_told("family_info.write_life_us")?,
         may_probe: line.flag("ceilings.probes")?,
         dropped_may_stay: line
             .maybe("rules.removal_not_binding")
--- a/crates/railhub-platform/src/assignment.rs
+++ b/crates/railhub-platform/src/assignment.rs
@@ -114,6 +114,11 @@
     messages_over_us: u64,
     throttle_by: String,
     update_cap: u32,
+    /// Told where a slice has one owner.
+    #[serde(default)]
+    write_lease_us: u64,
+    #[serde(default)]
+    write_life_us: u64,
 }
 
 #[derive(Deserialize)]
@@ -224,6 +229,8 @@
         classes,
         slices: family.key_ranges,
         single_owner: family.exclusive,
+        write_lease: seconds(family.write_lease_us, "settings.family_info.write_lease_us")?,
+        write_life: seconds(family.write_life_us, "settings.family_info.write_life_us")?,
         may_probe: ceilings.probes,
         dropped_may_stay: rules.removal_not_binding,
         levels_by_share: family.throttle_by == "share",
--- a/crates/railhub-steward/src/installation.rs
+++ b/crates/railhub-steward/src/installation.rs
@@ -89,6 +89,8 @@
         classes,
         slices: steward.within("slices", 0.0, 0.0, 65_534.0)? as u16,
         single_owner: steward.flag("single_owner", false)?,
+        write_lease: limits.within("write_lease", 10.0, 0.0, 3600.0)?,
+        write_life: limits.within("write_life", 10.0, 0.0, 3600.0)?,
         may_probe: steward.flag("probes", true)?,
         dropped_may_stay: !steward.flag("removal_binds", true)?,
         levels_by_share: steward.flag("levels", true)?,
--- a/crates/railhub-versions/src/wire.rs
+++ b/crates/railhub-versions/src/wire.rs
@@ -35,6 +35,8 @@
     put("family_info.messages_over_us", &micros(terms.messages_span));
     put("family_info.throttle_by", &if terms.levels_by_share { "share" } else { "rate" });
     put("family_info.update_cap", &terms.message_cap);
+    put("family_info.write_lease_us", &micros(terms.write_lease));
+    put("family_info.write_life_us", &micros(terms.write_life));
     put("rules.cold_from", &terms.cold_from);
     put("rules.fall_multiple", &terms.fall_multiple);
     put("rules.removal_not_binding", &terms.dropped_may_stay);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -250,6 +250,8 @@
     written: Vec<(HostId, f64)>,
     demand: Vec<Rate>,
     given_at: Seconds,
+    /// With one owner: when no write to a former one can be in hand. `None`: some may still hold its line.
+    free_at: Option<Seconds>,
     /// Operations a second it is taken to have until it is heard of.
     presumed: f64,
     rests_until: Seconds,
@@ -261,8 +263,8 @@
         let owner = stored.iter().max_by(|a, b| a.1.total_cmp(&b.1)).map(|line| line.0);
         let standby = stored.iter().map(|line| line.0).find(|host| Some(*host) != owner);
         let demand = vec![Rate::default(); classes];
-        let (home, given_at, presumed, rests_until) = (None, now, 0.0, 0.0);
-        Slice { owner, home, standby, written: stored, demand, given_at, presumed, rests_until }
+        let (home, given_at, free_at, presumed, rests_until) = (None, now, None, 0.0, 0.0);
+        Slice { owner, home, standby, written: stored, demand, given_at, free_at, presumed, rests_until }
     }
 
     fn is_heard(&self) -> bool {
@@ -287,6 +289,8 @@
     sent_at: Seconds,
     lines: f64,
     awaited: BTreeSet<ProxyId>,
+    /// Slices whose tables are known to be empty once it is confirmed.
+    emptied: Vec<SliceId>,
 }
 
 /// What a turn goes by: each usable host's demand, speed and present capacity.
@@ -325,6 +329,8 @@
     /// When it was given slices and had none.
     charged_at: Seconds,
     proxies: BTreeSet<ProxyId>,
+    /// When a proxy left last: it may go on writing by the tables that it had.
+    left_at: Seconds,
     withdrawn: Option<HostId>,
     levels: Vec<f64>,
     /// Part of what hosts can do that is asked for.
@@ -360,6 +366,7 @@
 
     pub fn round(&mut self, round: &Round, orders: &mut impl Orders) {
         let now = round.now;
+        self.left_at = if self.started { self.left_at } else { now };
         let turn = !std::mem::replace(&mut self.started, true) || !round.timers.is_empty();
         round.lists.iter().for_each(|list| self.hear_list(now, list, orders));
         let usual = if round.charges.is_empty() { 0.0 } else { self.usual_demand() };
@@ -376,13 +383,15 @@
             }
             let stood = self.proxies.remove(&change.proxy);
             self.proxies.extend(change.up.then_some(change.proxy));
+            self.left_at = if stood && !change.up { now } else { self.left_at };
             // What waits for one that stood all along still does, or was confirmed unheard.
             self.unsure |= change.up && stood;
             if !(change.up && stood) {
                 self.deltas.iter_mut().for_each(|delta| _ = delta.awaited.remove(&change.proxy));
             }
         }
-        round.confirmed.iter().for_each(|confirmed| self.hear_confirmed(confirmed));
+        round.confirmed.iter().for_each(|confirmed| self.hear_confirmed(now, confirmed));
+        self.end_deltas(now);
         if self.terms.slices == 0 {
             self.one_table(now, round, orders);
         } else if turn || verdicts > 0 || !round.lists.is_empty() || !round.charges.is_empty() {
@@ -393,9 +402,12 @@
             self.slices.values_mut().filter(|s| heard(s)).for_each(|s| s.presumed = 0.0);
             let mut loads = self.loads(now);
             self.hand_over(now, &mut loads, orders);
-            if turn {
+            // With one owner a move stops a slice for seconds: only hosts that must be left lose theirs.
+            if turn && !self.terms.single_owner {
                 self.take_back(now, &mut loads);
                 self.follow_latency(now, &mut loads);
+            }
+            if turn {
                 self.set_levels(&loads);
             }
             self.stand_by(&loads);
@@ -456,6 +468,7 @@
     fn take_charge(&mut self, now: Seconds, charge: &Charge, presumed: f64) {
         self.charged_at = if self.slices.is_empty() { now } else { self.charged_at };
         self.slices.remove(&charge.slice);
+        self.deltas.iter_mut().for_each(|delta| delta.emptied.retain(|id| *id != charge.slice));
         if charge.given {
             for (id, _) in &charge.lines {
                 let unheard = self.hosts.get_mut(id).filter(|host| host.last_good == 0.0);
@@ -548,11 +561,26 @@
         true
     }
 
-    fn hear_confirmed(&mut self, confirmed: &Confirmed) {
+    fn hear_confirmed(&mut self, now: Seconds, confirmed: &Confirmed) {
         let known = self.deltas.iter().position(|delta| delta.mark == confirmed.mark);
         let upto = known.map_or(0, |place| place + 1);
         self.deltas[..upto].iter_mut().for_each(|delta| _ = delta.awaited.remove(&confirmed.proxy));
-        self.deltas.retain(|delta| !delta.awaited.is_empty());
+        self.end_deltas(now);
+    }
+
+    /// Guards single owners: all proxies that stand know that a table is empty, and those that left write for a
+    /// lease at most; the last write to the former owner ends a life after that.
+    fn end_deltas(&mut self, now: Seconds) {
+        let (slices, left_at, terms) = (&mut self.slices, self.left_at, &self.terms);
+        self.deltas.retain(|delta| {
+            let ended = delta.awaited.is_empty();
+            for id in delta.emptied.iter().filter(|_| ended) {
+                let Some(slice) = slices.get_mut(id) else { continue };
+                let stopped = now.max(left_at.max(slice.given_at) + terms.write_lease);
+                slice.free_at = Some(stopped + terms.write_life);
+            }
+            !ended
+        });
     }
 
     /// Guards hosts where slices come from another steward: until its first report, each counts as the mean
@@ -828,9 +856,11 @@
     /// Writes what differs from the standing tables, the most urgent first, within the message allowance and
     /// the backlog. What waits in the channel is known from marks: it may be several times slower than usual.
     fn flush(&mut self, now: Seconds, turn: bool, orders: &mut impl Orders) {
+        let one = self.terms.single_owner;
+        let may = |s: &Slice| !one || !s.written.is_empty() || s.free_at.is_some_and(|at| at <= now);
         let mut due: Vec<_> = (self.slices.iter())
             .map(|(id, slice)| (self.wanted(slice), *id))
-            .filter(|((_, wanted), id)| *wanted != self.slices[id].written)
+            .filter(|((_, wanted), id)| *wanted != self.slices[id].written && may(&self.slices[id]))
             .collect();
         due.sort_by_key(|((haste, _), id)| (*haste, *id));
         let shut = self.shut_out(now);
@@ -839,7 +869,7 @@
         self.sent.retain(|at| *at >= now - self.terms.messages_span);
         let cap = if self.terms.message_cap == 0 { usize::MAX } else { self.terms.message_cap as usize };
         let kept = if urgent { 1 } else { URGENT_MESSAGES };
-        // Guards drains against a rush of verdicts, each a delta of its own, that leaves no message for seconds.
+        // Guards drains against a rush of verdicts, each a delta of its own, that leaves no message for them.
         let rushed = !turn && self.sent.len() as f64 >= cap as f64 * AT_ONCE;
         if rushed || self.sent.len() + kept >= cap {
             return;
@@ -871,18 +901,25 @@
         }
         for ((haste, wanted), id) in due {
             let slice = self.slices.get_mut(&id).expect("due above");
-            // A single-owner table has one line: a new owner takes the old one's place by itself.
             let mut changed = slice.changes(&wanted);
-            changed.retain(|line| line.1 > 0.0 || !self.terms.single_owner);
+            // One owner's writes must end before another is named: until then the table is empty.
+            let leaves = one && changed.iter().any(|line| line.1 == 0.0);
+            changed.retain(|line| !leaves || line.1 == 0.0);
             let used = if haste == 0 { BACKLOG_USE } else { ORDINARY_USE };
             if waiting + proxies * (lines + changed.len() as f64) > self.terms.backlog * used {
                 break;
             }
             lines += changed.len() as f64;
             changed.into_iter().for_each(|line| orders.set_line(id, line.0, line.1));
-            slice.written = wanted;
+            slice.written = if leaves { Vec::new() } else { wanted };
+            slice.free_at = slice.free_at.filter(|_| !leaves);
         }
-        self.unsure &= !self.deltas.is_empty();
+        let asked: BTreeSet<SliceId> = self.deltas.iter().flat_map(|delta| delta.emptied.clone()).collect();
+        let bare = |id: &SliceId, s: &Slice| {
+            one && s.written.is_empty() && s.free_at.is_none() && !asked.contains(id)
+        };
+        let emptied: Vec<_> = self.slices.iter().filter(|(id, s)| bare(id, s)).map(|(id, _)| *id).collect();
+        self.unsure = !emptied.is_empty() || self.unsure && !self.deltas.is_empty();
         let asks = self.unsure && waiting + proxies * empty <= self.terms.backlog;
         if lines > empty || asks {
             self.unsure = false;
@@ -890,7 +927,7 @@
             orders.mark(MarkId(self.mark));
             self.sent.push(now);
             let (mark, awaited) = (MarkId(self.mark), self.proxies.clone());
-            self.deltas.push(Delta { mark, sent_at: now, lines, awaited });
+            self.deltas.push(Delta { mark, sent_at: now, lines, awaited, emptied });
         }
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -47,6 +47,8 @@
         classes: vec![class(Repeat::Safe, 1.0), class(Repeat::Never, 5.0)],
         slices: 12,
         single_owner: false,
+        write_lease: 4.0,
+        write_life: 3.0,
         may_probe: true,
         dropped_may_stay: true,
         levels_by_share: true,
@@ -483,7 +485,7 @@
     steward.flush(201.0, true, &mut written);
     assert_eq!(written.shut, [(host(1), true)]);
     let mark = *written.marks.last().expect("marked");
-    (0..2).for_each(|k| steward.hear_confirmed(&Confirmed { proxy: ProxyId(k), mark }));
+    (0..2).for_each(|k| steward.hear_confirmed(200.0, &Confirmed { proxy: ProxyId(k), mark }));
     assert!(steward.deltas.is_empty());
 }
 
@@ -503,7 +505,7 @@
     }
     // Both confirmed unheard: the mark that asks again is confirmed for all that came before it.
     let mark = *written.marks.last().expect("marked");
-    (0..2).for_each(|k| steward.hear_confirmed(&Confirmed { proxy: ProxyId(k), mark }));
+    (0..2).for_each(|k| steward.hear_confirmed(200.0, &Confirmed { proxy: ProxyId(k), mark }));
     assert!(steward.deltas.is_empty());
     steward.round(&turn(206.0), &mut written);
     assert!(!steward.unsure && written.marks.last() > Some(&mark), "tables are written again");
@@ -539,6 +541,78 @@
     assert!(most.max().is_some_and(|most| (10..20).contains(&most)));
 }
 
+fn confirms(now: Seconds, proxies: &[u16], mark: MarkId) -> Round {
+    let confirmed = proxies.iter().map(|n| Confirmed { proxy: ProxyId(*n), mark }).collect();
+    Round { confirmed, ..turn(now) }
+}
+
+fn leaves(now: Seconds, proxy: u16) -> Round {
+    Round { streams: vec![StreamChange { proxy: ProxyId(proxy), up: false, first: false }], ..turn(now) }
+}
+
+/// Rounds until the next line with a weight, a turn a second; when that is.
+fn named_at(steward: &mut Steward, from: Seconds) -> Seconds {
+    (0..60)
+        .map(|k| from + f64::from(k))
+        .find(|now| {
+            let mut written = Written::default();
+            steward.round(&turn(*now), &mut written);
+            written.lines.iter().any(|line| line.2 > 0.0)
+        })
+        .expect("named at last")
+}
+
+#[test]
+fn a_single_owners_heir_is_named_once_no_write_to_the_former_owner_can_be_in_hand() {
+    let mut steward = steward(Terms { single_owner: true, ..terms() });
+    let mut written = Written::default();
+    steward.round(&news(120.0, vec![listed(1, Phase::Draining, None)]), &mut written);
+    let emptied: Vec<_> = (0..3).map(|k| (SliceId(4 * k), host(1), 0.0)).collect();
+    assert_eq!(written.lines, emptied, "the drain is kept at once, nobody is named");
+    let mark = *written.marks.last().expect("marked");
+    // One proxy has applied it; the other knows nothing yet and may go on writing to the former owner.
+    steward.round(&confirms(121.0, &[0], mark), &mut written);
+    (122..130).for_each(|now| steward.round(&turn(f64::from(now)), &mut written));
+    assert_eq!(written.lines.len(), 3, "still nobody");
+    steward.round(&confirms(130.0, &[1], mark), &mut written);
+    assert_eq!(named_at(&mut steward, 130.5), 133.5, "a write's life after the last proxy knows");
+    assert!(steward.slices.values().all(|slice| slice.written.len() == 1 && slice.written[0].0 != host(1)));
+}
+
+#[test]
+fn a_proxy_that_left_with_an_owners_line_is_waited_for_by_its_lease() {
+    let mut steward = steward(Terms { single_owner: true, ..terms() });
+    let mut written = Written::default();
+    steward.round(&news(120.0, vec![listed(1, Phase::Draining, None)]), &mut written);
+    let mark = *written.marks.last().expect("marked");
+    steward.round(&confirms(121.0, &[0], mark), &mut written);
+    steward.round(&leaves(122.0, 1), &mut written);
+    // It may write until 126, and that write lasts until 129.
+    assert_eq!(named_at(&mut steward, 122.5), 129.5);
+}
+
+#[test]
+fn a_single_owners_table_that_comes_empty_may_have_just_been_emptied() {
+    let mut steward = steward(Terms { single_owner: true, ..terms() });
+    let charge = Charge { slice: SliceId(2), given: true, lines: Vec::new() };
+    let mut written = Written::default();
+    steward.round(&Round { charges: vec![charge], ..turn(140.0) }, &mut written);
+    assert!(written.lines.is_empty());
+    let mark = *written.marks.last().expect("all are asked whether they know");
+    steward.round(&confirms(141.0, &[0, 1], mark), &mut written);
+    assert_eq!(
+        named_at(&mut steward, 141.5),
+        147.5,
+        "the lease of those that stand nowhere, and a write's life"
+    );
+    // Nobody answers: after a while all are asked anew.
+    let charge = Charge { slice: SliceId(3), given: true, lines: Vec::new() };
+    let mut written = Written::default();
+    steward.round(&Round { charges: vec![charge], ..turn(150.0) }, &mut written);
+    (151..175).for_each(|now| steward.round(&turn(f64::from(now)), &mut written));
+    assert_eq!((written.lines.len(), written.marks.len()), (0, 2));
+}
+
 #[test]
 fn lost_confirmations_are_asked_for_by_a_mark_alone() {
     let mut steward = steward(terms());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,6 +107,9 @@
     pub slices: u16,
     /// A slice's table has one line, its owner.
     pub single_owner: bool,
+    /// There: how long a proxy that lost its stream goes on writing to the owner it knows, and a write lasts at most.
+    pub write_lease: Seconds,
+    pub write_life: Seconds,
     pub may_probe: bool,
     /// A host that the list merely drops may stay in tables.
     pub dropped_may_stay: bool,
