Crossings on real sockets: late answers, closed lines, trickling peers, ends and starts

A guard that fired just after the last answer left a dead line to the next call: `let_go`. - An answer that came whole as its guard fired counted as silence: what was read whole counts. - Bytes without a line's end kept news, watch and calls alive for ever: a whole line is the sign of life, not a byte. - A probe's end spoke for whoever had the host's name by then: it names address and start, and counts only while they hold. - SIGTERM ran exit handlers while threads went on: `_exit`.

--- a/crates/railhub-net/src/deadline.rs
+++ b/crates/railhub-net/src/deadline.rs
@@ -115,6 +115,13 @@
         Closer(Arc::downgrade(&self.0))
     }
 
+    /// Lets the socket go. Whether it is whole: a guard that fires just before this has shut it down, and one that
+    /// is asked before it is let go may still fire between the two.
+    pub fn let_go(self) -> bool {
+        *self.0.socket.lock().expect("no holder panics") = None;
+        !self.fired()
+    }
+
     /// It has shut the socket down.
     pub fn fired(&self) -> bool {
         self.0.fired.load(Ordering::Acquire)
--- a/crates/railhub-net/src/http.rs
+++ b/crates/railhub-net/src/http.rs
@@ -104,10 +104,10 @@
         let guard = Guard::both_ways(&stream, self.within.as_secs_f64());
         stream.write_all(&bytes).map_err(HttpFault::Broken)?;
         let read = read_answer(&mut stream);
-        let late = guard.fired();
-        drop(guard);
-        let (status, body) = if late { Err(HttpFault::Silent) } else { read }?;
-        self.stream = Some(stream);
+        // What was read whole counts, though the guard fired just then; the stream is not used again.
+        let whole = guard.let_go();
+        let (status, body) = read.map_err(|fault| if whole { fault } else { HttpFault::Silent })?;
+        self.stream = whole.then_some(stream);
         if status == 200 {
             Ok(body)
         } else {
@@ -187,23 +187,23 @@
     pub fn line<T>(&mut self, read: impl FnOnce(&[u8]) -> T) -> Result<T, HttpFault> {
         loop {
             match self.lines.has_line() {
-                Ok(true) => break,
+                Ok(true) => {
+                    // Bytes that never make a line are no sign of life.
+                    self.guard.heard();
+                    break;
+                }
                 Ok(false) if self.chunks.ended => return Err(HttpFault::Ended),
                 Ok(false) => {}
                 Err(fault) => return Err(HttpFault::Malformed(fault.to_string())),
             }
             let mut bytes = [0; READ_AT_ONCE];
-            let count = self.stream.read(&mut bytes);
-            if self.guard.fired() {
-                return Err(HttpFault::Silent);
-            }
-            match count {
-                Ok(0) => return Err(HttpFault::Ended),
-                Ok(count) => {
-                    self.guard.heard();
+            match self.stream.read(&mut bytes) {
+                Ok(count) if count > 0 => {
                     let lines = &mut self.lines;
                     self.chunks.push(&bytes[..count], |part| lines.push(part))?;
                 }
+                _ if self.guard.fired() => return Err(HttpFault::Silent),
+                Ok(_) => return Err(HttpFault::Ended),
                 Err(e) => return Err(HttpFault::Broken(e)),
             }
         }
--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -31,6 +31,8 @@
     pub informed: bool,
     pub sums_dropped: u64,
     pub probes_dropped: u64,
+    /// Probes that told of a host as it was before.
+    pub probes_outrun: u64,
     /// Orders that a later one about the same made needless.
     pub folded: u64,
     pub late_99: Seconds,
@@ -127,9 +129,9 @@
             Word::Asked(source) => self.desk.hear_asked(source),
             Word::News(source, news) => self.desk.hear_news(now(), source, news),
             Word::Ended(source) => self.desk.hear_ended(source),
-            Word::Probe(result) => {
-                tracing::debug!(?result, "probe");
-                self.desk.hear_probe(result);
+            Word::Probe(probe, end) => {
+                tracing::debug!(host = %probe.host, ?end, "probe");
+                self.desk.hear_probe(&probe, end);
             }
             Word::CallEnded(answer) => self.end_call(answer),
         }
@@ -159,9 +161,7 @@
         for late in &asked.late {
             self.late.saturating_record(micros(*late));
         }
-        for (host, address) in asked.probes {
-            self.probes.ask((host, address));
-        }
+        asked.probes.into_iter().for_each(|probe| self.probes.ask(probe));
         for cause in asked.notes {
             tracing::info!(cause, "decision");
         }
@@ -195,6 +195,7 @@
         (shown.waiting, shown.informed) = (self.desk.orders_waiting(), self.desk.is_informed());
         shown.sums_dropped = self.desk.sums_dropped + self.shared.inbox.sums_dropped.load(Ordering::Relaxed);
         (shown.probes_dropped, shown.folded) = (self.probes.dropped(), self.desk.orders_folded());
+        shown.probes_outrun = self.desk.probes_outrun;
         let tail = |times: &Histogram<u64>| (span(times.value_at_quantile(0.99)), span(times.max()));
         (shown.late_99, shown.late_most) = tail(&self.late);
         (shown.call_99, shown.call_most) = tail(&self.called);
--- a/crates/railhub-platform-net/src/probes.rs
+++ b/crates/railhub-platform-net/src/probes.rs
@@ -1,9 +1,10 @@
 //! Probes: so many at once, each on a connection of its own, as whether a host can be reached is half of the
 //! question. What does not fit the queue is not asked this time; the module asks again each turn.
 use crate::shared::{Holds, Shared, Word};
-use railhub::{HostId, ProbeEnd, ProbeResult, Seconds};
+use railhub::{ProbeEnd, Seconds};
 use railhub_net::http::{Caller, HttpFault};
 use railhub_net::{seconds, Pool};
+use railhub_platform::Probe;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,14 +14,14 @@
 /// Seconds for a host to say that it lives.
 const WITHIN: Seconds = 0.4;
 
-pub type Probes = Pool<(HostId, SocketAddr)>;
+pub type Probes = Pool<Probe>;
 
 pub fn start(shared: &Arc<Shared>) -> Probes {
     let shared = shared.clone();
-    Pool::start(AT_ONCE, WAITING, move |(host, address)| {
+    Pool::start(AT_ONCE, WAITING, move |asked: Probe| {
         let _held = Holds::one(&shared.held.probes);
-        match probe(address) {
-            Some(end) => shared.inbox.tell(Word::Probe(ProbeResult { host, end })),
+        match probe(asked.address) {
+            Some(end) => shared.inbox.tell(Word::Probe(asked, end)),
             None => shared.refuse("probe answer"),
         }
     })
--- a/crates/railhub-platform-net/src/relay.rs
+++ b/crates/railhub-platform-net/src/relay.rs
@@ -100,19 +100,16 @@
 ) -> Result<T, String> {
     loop {
         if lines.has_line().map_err(|fault| fault.to_string())? {
+            // Bytes that never make a line are no sign of life.
+            guard.heard();
             return Ok(lines.line(read));
         }
         let mut bytes = [0; READ_AT_ONCE];
-        let count = stream.read(&mut bytes);
-        if guard.fired() {
-            return Err("silent for too long".into());
-        }
-        match count {
-            Ok(0) => return Err("closed".into()),
-            Ok(count) => {
-                guard.heard();
-                lines.push(&bytes[..count]);
-            }
+        match stream.read(&mut bytes) {
+            // What came whole just as the guard fired counts.
+            Ok(count) if count > 0 => lines.push(&bytes[..count]),
+            _ if guard.fired() => return Err("silent for too long".into()),
+            Ok(_) => return Err("closed".into()),
             Err(fault) => return Err(fault.to_string()),
         }
     }
@@ -158,7 +155,8 @@
 
 fn make(shared: &Shared, line: &mut Option<Line>, call: &Call) -> Result<Answer, String> {
     let to = shared.addresses().relay;
-    let kept = line.take().filter(|line| line.to == to && now() - line.used_at < IDLE);
+    let fresh = |line: &Line| line.to == to && now() - line.used_at < IDLE && is_quiet(&line.stream);
+    let kept = line.take().filter(fresh);
     let mut open = match kept {
         Some(open) => open,
         None => {
@@ -175,8 +173,13 @@
         news::answer(bytes, call.id, call.count).map_err(|spoilt| format!("{spoilt}: {shown}"))
     };
     let answer = next_line(&mut open.stream, &guard, &mut open.lines, read)??;
-    drop(guard);
     open.used_at = now();
-    *line = Some(open);
+    *line = guard.let_go().then_some(open);
     Ok(answer)
 }
+
+/// Whether a kept connection stands and nothing came on it since its last answer: a call on one that the relay has
+/// closed would have no known end, and what came unasked would pass for its answer.
+fn is_quiet(stream: &TcpStream) -> bool {
+    stream.inner().peek(&mut [0]).is_err_and(|fault| fault.kind() == std::io::ErrorKind::WouldBlock)
+}
--- a/crates/railhub-platform-net/src/shared.rs
+++ b/crates/railhub-platform-net/src/shared.rs
@@ -1,8 +1,8 @@
 //! What the parts of a steward share: its inbox, the addresses that count now, and counts for the log.
-use railhub::{DemandSum, ProbeResult, TrySum};
+use railhub::{DemandSum, ProbeEnd, TrySum};
 use railhub_net::{Closer, Inbox};
 use railhub_platform::news::{Answer, News, SubscriptionId};
-use railhub_platform::{Assignment, Names, Page, Spoilt};
+use railhub_platform::{Assignment, Names, Page, Probe, Spoilt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -18,7 +18,7 @@
     Asked(SubscriptionId),
     News(SubscriptionId, News),
     Ended(SubscriptionId),
-    Probe(ProbeResult),
+    Probe(Probe, ProbeEnd),
     /// How the call that was out ended; without an answer its outcome is not known.
     CallEnded(Option<Answer>),
 }
--- a/crates/railhub-platform-net/src/signals.rs
+++ b/crates/railhub-platform-net/src/signals.rs
@@ -17,7 +17,7 @@
         let watching = move || {
             for signal in self.0.forever() {
                 if signal == SIGTERM {
-                    std::process::exit(0);
+                    end();
                 }
                 read_anew(&path, &shared);
             }
@@ -26,6 +26,13 @@
     }
 }
 
+/// Ends at once and well. Not by `exit`, whose handlers would run while the other threads go on with what they free;
+/// nothing is kept back for them: logs are written as they come, and what is ordered leaves within a round.
+fn end() -> ! {
+    // SAFETY: ends the process; nothing here is needed after it.
+    unsafe { libc::_exit(0) }
+}
+
 /// New addresses count at once; the old connections go when the new ones stand. A bad file changes nothing.
 fn read_anew(path: &std::path::Path, shared: &Arc<Shared>) {
     match crate::read(path) {
--- a/crates/railhub-platform/src/assignment.rs
+++ b/crates/railhub-platform/src/assignment.rs
@@ -184,10 +184,6 @@
             longest_wait: seconds(longest, "settings.request_classes")?,
         };
         let known = sheet.known.check(&names);
-        if !known.spoilt.is_empty() {
-            let many = known.spoilt.len();
-            return Err(fault("known.instances", format!("{many} entries cannot be read")));
-        }
         Ok(Assignment {
             name: sheet.name,
             listen: sheet.listen,
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -5,8 +5,8 @@
 use crate::news::{Answer, News, SubscriptionId};
 use crate::orders::{put, Call, Draft, Order, Waiting, SAME_WEIGHT};
 use railhub::{
-    Charge, DemandSum, HostId, HostList, Phase, ProbeResult, ProxyId, Round, Seconds, SliceId, Steward,
-    StreamChange, TimerId, TrySum,
+    Charge, DemandSum, HostId, HostList, Phase, ProbeEnd, ProbeResult, ProxyId, Round, Seconds, SliceId,
+    Steward, StreamChange, TimerId, TrySum,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -31,10 +31,18 @@
     source: SubscriptionId,
 }
 
+/// A probe of a host as the list had it then: where, and since when it ran.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Probe {
+    pub host: HostId,
+    pub address: SocketAddr,
+    started: Option<Seconds>,
+}
+
 /// What the desk asks of the sockets after a round, and tells the log.
 #[derive(Debug, Default)]
 pub struct Asked {
-    pub probes: Vec<(HostId, SocketAddr)>,
+    pub probes: Vec<Probe>,
     pub notes: Vec<String>,
     /// It ran a round.
     pub rounds: u64,
@@ -68,11 +76,14 @@
     charges: Vec<Charge>,
     timers: Vec<(Seconds, TimerId)>,
     generation: u64,
-    addresses: BTreeMap<HostId, SocketAddr>,
+    /// Where each listed host is, and since when it runs.
+    addresses: BTreeMap<HostId, (SocketAddr, Option<Seconds>)>,
     proxies: BTreeSet<ProxyId>,
     waiting: Waiting,
     calling: bool,
     pub sums_dropped: u64,
+    /// Probes whose host was another by the time they ended.
+    pub probes_outrun: u64,
 }
 
 impl Desk {
@@ -102,6 +113,7 @@
             waiting: Waiting::new(&assignment.terms),
             calling: false,
             sums_dropped: 0,
+            probes_outrun: 0,
         };
         desk.hear_page(&assignment.known);
         desk
@@ -128,7 +140,7 @@
             if entry.listed.phase == Phase::Gone {
                 self.addresses.remove(&entry.listed.host);
             } else {
-                self.addresses.insert(entry.listed.host, entry.address);
+                self.addresses.insert(entry.listed.host, (entry.address, entry.listed.started));
             }
         }
         fold(&mut self.round.lists, page.list());
@@ -151,9 +163,14 @@
         self.sums_dropped += u64::from(!kept);
     }
 
-    pub fn hear_probe(&mut self, result: ProbeResult) {
-        self.round.probes.push(result);
-        self.news = true;
+    /// How a probe ended says nothing of a host that is gone, moved or started anew since it was asked for.
+    pub fn hear_probe(&mut self, probe: &Probe, end: ProbeEnd) {
+        if self.addresses.get(&probe.host) == Some(&(probe.address, probe.started)) {
+            self.round.probes.push(ProbeResult { host: probe.host, end });
+            self.news = true;
+        } else {
+            self.probes_outrun += 1;
+        }
     }
 
     /// A subscription is about to be asked for: to be told before the relay can know.
@@ -367,7 +384,11 @@
         let Draft { probes, wakes, notes, .. } = draft;
         self.timers.extend(wakes.into_iter().map(|(after, timer)| (now + after, timer)));
         let addresses = &self.addresses;
-        asked.probes = probes.into_iter().filter_map(|host| Some((host, *addresses.get(&host)?))).collect();
+        let probe = |host: HostId| {
+            let (address, started) = *addresses.get(&host)?;
+            Some(Probe { host, address, started })
+        };
+        asked.probes = probes.into_iter().filter_map(probe).collect();
         (asked.notes, asked.rounds) = (notes, 1);
         asked
     }
--- a/crates/railhub-platform/src/discovery.rs
+++ b/crates/railhub-platform/src/discovery.rs
@@ -26,7 +26,15 @@
 pub struct RawPage {
     generation: u64,
     reset: bool,
-    instances: Vec<Instance>,
+    instances: Vec<Entered>,
+}
+
+/// An entry of which a field lacks or has another type costs itself, not the page.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum Entered {
+    Whole(Instance),
+    Spoilt(serde::de::IgnoredAny),
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -53,7 +61,11 @@
         let mut page =
             Page { generation: self.generation, whole: self.reset, entries: Vec::new(), spoilt: Vec::new() };
         for instance in &self.instances {
-            match instance.check(names) {
+            let checked = match instance {
+                Entered::Whole(instance) => instance.check(names),
+                Entered::Spoilt(_) => Err(Spoilt::Fields),
+            };
+            match checked {
                 Ok(entry) => page.entries.push(entry),
                 Err(fault) => page.spoilt.push(fault),
             }
--- a/crates/railhub-platform/src/lib.rs
+++ b/crates/railhub-platform/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod orders;
 
 pub use assignment::{Assignment, Names};
-pub use desk::Desk;
+pub use desk::{Desk, Probe};
 pub use discovery::Page;
 
 use thiserror::Error;
--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -1,5 +1,5 @@
 //! The desk with the real module: what the relay tells, what is ordered, and how calls end.
-use railhub::{ClassId, HostId, ProxyId, SecondTry, SliceId};
+use railhub::{ClassId, HostId, ProbeEnd, ProxyId, SecondTry, SliceId};
 use railhub_platform::news::{Answer, News, SubscriptionId};
 use railhub_platform::orders::{Call, Order, Waiting};
 use railhub_platform::{Assignment, Desk as Core};
@@ -292,6 +292,32 @@
     assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
 }
 
+#[test]
+fn a_probe_that_ends_after_its_host_moved_started_anew_or_went_says_nothing_of_what_is_there_now() {
+    let read = Assignment::read(FILE).expect("a good file");
+    let page = |generation: u64, address: &str, lifecycle: &str, started: f64| {
+        let text = format!(
+            "{{\"generation\":{generation},\"reset\":false,\"instances\":[{{\"instanceId\":\"s-1\",\"hostPort\":\
+             \"{address}\",\"lifecycle\":\"{lifecycle}\",\"weight\":1,\"startedAtMs\":{started}}}]}}"
+        );
+        railhub_platform::discovery::read(text.as_bytes(), &read.names).expect("a page")
+    };
+    let here = "127.0.0.1:7070";
+    for (address, lifecycle, started) in
+        [("127.0.0.9:7070", "ready", 0.0), (here, "ready", 1.7e12), (here, "gone", 0.0)]
+    {
+        let mut desk = Desk::new(&read);
+        stands(&mut desk, START, &[joined(1), given(3), held(3, 2)]);
+        let asked = desk.act(START).probes;
+        let probe = asked.into_iter().find(|probe| probe.host == host(1)).expect("it is probed");
+        desk.hear_page(&page(42, address, lifecycle, started));
+        (0..3).for_each(|_| desk.hear_probe(&probe, ProbeEnd::Unreachable));
+        assert_eq!(desk.probes_outrun, 3);
+        let notes = desk.act(START + 0.1).notes;
+        assert!(!notes.iter().any(|note| note.contains("down")), "{notes:?}");
+    }
+}
+
 #[test]
 fn a_call_said_again_leaves_out_tables_that_are_held_no_more() {
     let mut waiting = Waiting::default();
