A discovery that began anew is believed after six quiet seconds, not never

Read: a whole list (`reset`) under a lower number was dropped by `Desk::hear_page` for ever, while watch.rs went on from that lower number, so that each later change was dropped as well: hosts would be told nowhere until a restart. Change: the watch goes on from what the desk knows, hangs up on an older list and asks again; the desk takes a whole list under a lower number once nothing newer has come for 6 s, by which discovery's words count as told, so a late page is still no news.

--- a/crates/railhub-cli/tests/crossings.rs
+++ b/crates/railhub-cli/tests/crossings.rs
@@ -440,6 +440,34 @@
     trickling.join().expect("it was cut off");
 }
 
+#[test]
+fn a_discovery_that_began_anew_is_asked_until_its_list_counts() {
+    let (relay, discovery) = (Relay::open(), Discovery::open());
+    let steward = Steward::start("anew", relay.address, discovery.address);
+    let page = |generation: u64, whole: bool| {
+        let page = format!("{{\"generation\":{generation},\"reset\":{whole},\"instances\":[]}}\n");
+        format!("{:x}\r\n{page}\r\n", page.len())
+    };
+    // Two tellings: the first word moves the list on, the second is older and too near to it to be believed.
+    let (mut stream, ask) = discovery.watch();
+    assert!(ask.contains("after=41 "), "{ask}");
+    stream.write_all((page(60, false) + &page(3, true)).as_bytes()).expect("read");
+    let began = Instant::now();
+    let after = loop {
+        let (mut stream, ask) = discovery.watch();
+        if !ask.contains("after=60 ") {
+            break ask;
+        }
+        assert!(began.elapsed() < PATIENCE, "{ask}");
+        stream.write_all(page(3, true).as_bytes()).expect("read");
+        // It hangs up to ask again, or keeps the line once the list counts; that one is ended here.
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+        let _ = stream.read(&mut [0; 64]);
+    };
+    assert!(after.contains("after=3 ") && began.elapsed() > Duration::from_secs(5), "{after}");
+    assert!(steward.log.lock().expect("alive").contains("a list older than the one known"));
+}
+
 #[test]
 fn sigterm_ends_it_well_at_once_with_a_call_out_and_while_it_starts() {
     let (_relay, mut steward, _news, _calls, _) = with_a_call_out("term");
--- a/crates/railhub-platform-net/src/lib.rs
+++ b/crates/railhub-platform-net/src/lib.rs
@@ -47,6 +47,11 @@
 pub fn run(path: &Path, signals: Signals) -> Result<(), RunFault> {
     end_on_panic();
     let assignment = read(path)?;
+    let spoilt = assignment.known.spoilt.len();
+    if spoilt > 0 {
+        // A start that is refused for it would leave nobody in charge.
+        tracing::warn!(spoilt, "entries of the known list cannot be read: the list is asked for whole");
+    }
     railhub_net::start_small(KEPT_STACKS);
     one_heap();
     let shared = shared::Shared::new(&assignment);
@@ -56,24 +61,13 @@
     let _listener = listener::open(&assignment, &shared)?;
     tracing::info!(name = assignment.name, address = %assignment.listen, "the steward listens");
     relay::follow(&shared);
-    watch::follow(&shared, known(&assignment));
+    watch::follow(&shared);
     signals.watch(path.to_owned(), shared.clone()).map_err(RunFault::Start)?;
     let thread = std::thread::Builder::new().name("owner".into()).spawn(move || owner.run());
     thread.map_err(RunFault::Start)?;
     figures::tell(&shared, &assignment)
 }
 
-/// The version of the list to go on from. One with a spoilt entry is asked for whole: it is old, and a start that is
-/// refused for it would leave nobody in charge.
-fn known(assignment: &Assignment) -> u64 {
-    let spoilt = assignment.known.spoilt.len();
-    if spoilt == 0 {
-        return assignment.known.generation;
-    }
-    tracing::warn!(spoilt, "entries of the known list cannot be read: the list is asked for whole");
-    0
-}
-
 /// A panic anywhere ends the process with a word: half a steward is worse than none, which is started again.
 fn end_on_panic() {
     std::panic::set_hook(Box::new(|info| {
--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -64,7 +64,7 @@
 impl Owner {
     pub fn new(assignment: &Assignment, shared: &Arc<Shared>, calls: Calls, probes: Probes) -> Owner {
         let times = || Histogram::new_with_max(LONGEST_TIME, 2).expect("two digits are allowed");
-        Owner {
+        let mut owner = Owner {
             desk: Desk::new(assignment),
             shared: shared.clone(),
             calls,
@@ -77,7 +77,10 @@
             called: times(),
             reported: times(),
             shown: Shown::default(),
-        }
+        };
+        // The watch asks for what came after the known list from the first.
+        owner.show();
+        owner
     }
 
     pub fn run(mut self) {
@@ -122,7 +125,7 @@
         match word {
             Word::Page(page) => {
                 let (generation, hosts, whole) = (page.generation, page.entries.len(), page.whole);
-                if self.desk.hear_page(&page) {
+                if self.desk.hear_page(now(), &page) {
                     tracing::info!(generation, hosts, whole, "the host list has news");
                 }
             }
--- a/crates/railhub-platform-net/src/signals.rs
+++ b/crates/railhub-platform-net/src/signals.rs
@@ -40,7 +40,7 @@
             let addresses = shared.move_to(new.relay, new.discovery);
             tracing::info!(relay = %addresses.relay, discovery = %addresses.discovery, "a new file counts");
             crate::relay::follow(shared);
-            crate::watch::follow(shared, crate::watch::known(shared));
+            crate::watch::follow(shared);
         }
         Err(fault) => tracing::error!(%fault, "the new file is not used: the old one holds"),
     }
--- a/crates/railhub-platform-net/src/watch.rs
+++ b/crates/railhub-platform-net/src/watch.rs
@@ -13,17 +13,17 @@
 const PAUSE: Seconds = 0.3;
 
 /// The list's version that the desk has.
-pub fn known(shared: &Shared) -> u64 {
+fn known(shared: &Shared) -> u64 {
     shared.owner.lock().expect("no holder panics").generation
 }
 
 /// Follows the list from the addresses that count now; an earlier follower ends by itself.
-pub fn follow(shared: &Arc<Shared>, from: u64) {
+pub fn follow(shared: &Arc<Shared>) {
     let (shared, addresses) = (shared.clone(), shared.addresses());
     go(move || {
-        let (mut generation, mut failing) = (from, false);
+        let mut failing = false;
         while shared.addresses().version == addresses.version {
-            let fault = watch(&shared, addresses, &mut generation, &mut failing);
+            let fault = watch(&shared, addresses, &mut failing);
             if !std::mem::replace(&mut failing, true) && shared.addresses().version == addresses.version {
                 tracing::warn!(%fault, "discovery's watch ended: the last list holds");
             }
@@ -32,7 +32,9 @@
     });
 }
 
-fn watch(shared: &Shared, addresses: Addresses, generation: &mut u64, failing: &mut bool) -> HttpFault {
+/// What the desk knows is where the watch goes on: a page that it did not take in is told again.
+fn watch(shared: &Shared, addresses: Addresses, failing: &mut bool) -> HttpFault {
+    let mut generation = known(shared);
     let path = format!("/discovery/hosts?watch=1&after={generation}");
     let mut feed = match Feed::open(addresses.discovery, &path, CONNECT, SILENT) {
         Ok(feed) => feed,
@@ -42,7 +44,7 @@
     if !shared.watch_line.take_over(addresses.version, feed.closer()) {
         return HttpFault::Ended;
     }
-    tracing::info!(discovery = %addresses.discovery, after = *generation, "watching the list");
+    tracing::info!(discovery = %addresses.discovery, after = generation, "watching the list");
     loop {
         let read = |line: &[u8]| (!line.is_empty()).then(|| discovery::read(line, &shared.names));
         match feed.line(read) {
@@ -50,14 +52,14 @@
             Ok(Some(Ok(page))) => {
                 *failing = false;
                 page.spoilt.iter().for_each(|_| shared.refuse("list entry"));
-                let whole = page.spoilt.is_empty();
-                if whole {
-                    *generation = page.generation;
-                }
+                let (spoilt, older) = (!page.spoilt.is_empty(), page.generation < generation);
+                generation = page.generation;
                 shared.inbox.tell(Word::Page(page));
-                if !whole {
-                    // It is asked for again: the next telling may be readable.
-                    return HttpFault::Malformed("an entry of the list".into());
+                // It is asked for again: the next telling may be readable, or count by then.
+                if spoilt || older {
+                    let what =
+                        if spoilt { "an entry of the list" } else { "a list older than the one known" };
+                    return HttpFault::Malformed(what.into());
                 }
             }
             Ok(Some(Err(spoilt))) => {
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -19,6 +19,8 @@
 const CHARGE_QUIET: Seconds = 0.02;
 /// Orders taken while a subscription has not told what stands: past them it is asked for anew.
 const TAKEN_MOST: usize = 20_000;
+/// Seconds a list may be late: what discovery has to tell counts as told by then.
+const LATE_LIST: Seconds = 6.0;
 /// Sums that a round may hold; further ones are dropped, as the next say more.
 const SUMS_A_ROUND: usize = 8192;
 
@@ -76,6 +78,7 @@
     charges: Vec<Charge>,
     timers: Vec<(Seconds, TimerId)>,
     generation: u64,
+    listed_at: Seconds,
     /// Where each listed host is, and since when it runs.
     addresses: BTreeMap<HostId, (SocketAddr, Option<Seconds>)>,
     proxies: BTreeSet<ProxyId>,
@@ -108,6 +111,7 @@
             charges: Vec::new(),
             timers: Vec::new(),
             generation: 0,
+            listed_at: 0.0,
             addresses: BTreeMap::new(),
             proxies: BTreeSet::new(),
             waiting: Waiting::new(&assignment.terms),
@@ -115,7 +119,7 @@
             sums_dropped: 0,
             probes_outrun: 0,
         };
-        desk.hear_page(&assignment.known);
+        desk.hear_page(0.0, &assignment.known);
         desk
     }
 
@@ -124,11 +128,14 @@
         self.generation
     }
 
-    /// A page that is older than what is known, or known already, says nothing.
-    pub fn hear_page(&mut self, page: &Page) -> bool {
-        if page.generation < self.generation || page.generation == self.generation && !page.whole {
+    /// A page that is older than what is known, or known already, says nothing. A whole list under a lower number that
+    /// comes when nothing newer has for long is no late one: discovery began anew, and its old numbers with it.
+    pub fn hear_page(&mut self, now: Seconds, page: &Page) -> bool {
+        let late = page.generation < self.generation && !(page.whole && now - self.listed_at >= LATE_LIST);
+        if late || page.generation == self.generation && !page.whole {
             return false;
         }
+        self.listed_at = now;
         // What was spoilt is told again under the same number.
         if page.spoilt.is_empty() {
             self.generation = page.generation;
@@ -522,7 +529,7 @@
                  {{\"instanceId\":\"n-{old}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"gone\",\"weight\":1}},\
                  {{\"instanceId\":\"n-{new}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"ready\",\"weight\":1}}]}}"
             );
-            assert!(desk.hear_page(&crate::discovery::read(page.as_bytes(), &names).expect("a page")));
+            assert!(desk.hear_page(1.0, &crate::discovery::read(page.as_bytes(), &names).expect("a page")));
         }
         let [list] = desk.round.lists.as_slice() else { panic!("one list") };
         let hosts: Vec<&str> = list.entries.iter().map(|entry| entry.host.name()).collect();
--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -310,7 +310,7 @@
         stands(&mut desk, START, &[joined(1), given(3), held(3, 2)]);
         let asked = desk.act(START).probes;
         let probe = asked.into_iter().find(|probe| probe.host == host(1)).expect("it is probed");
-        desk.hear_page(&page(42, address, lifecycle, started));
+        desk.hear_page(START, &page(42, address, lifecycle, started));
         (0..3).for_each(|_| desk.hear_probe(&probe, ProbeEnd::Unreachable));
         assert_eq!(desk.probes_outrun, 3);
         let notes = desk.act(START + 0.1).notes;
@@ -318,6 +318,25 @@
     }
 }
 
+#[test]
+fn a_whole_list_under_a_lower_number_counts_once_nothing_newer_has_come_for_long() {
+    let read = assignment();
+    let page = |generation: u64, whole: bool, name: &str| {
+        let text = format!(
+            "{{\"generation\":{generation},\"reset\":{whole},\"instances\":[{{\"instanceId\":\"{name}\",\
+             \"hostPort\":\"127.0.0.9:1\",\"lifecycle\":\"ready\",\"weight\":1}}]}}"
+        );
+        railhub_platform::discovery::read(text.as_bytes(), &read.names).expect("a page")
+    };
+    let mut desk = Desk::new(&read);
+    assert!(desk.hear_page(START, &page(60, true, "s-7")));
+    assert!(!desk.hear_page(START + 5.0, &page(3, true, "s-8")), "it may be a late one");
+    assert!(!desk.hear_page(START + 20.0, &page(4, false, "s-8")), "changes of what is not known");
+    assert!(desk.hear_page(START + 20.0, &page(3, true, "s-8")), "discovery began anew");
+    assert!(desk.hear_page(START + 20.1, &page(4, false, "s-9")) && desk.generation() == 4);
+    assert_eq!(desk.hosts(), 2);
+}
+
 #[test]
 fn a_call_said_again_leaves_out_tables_that_are_held_no_more() {
     let mut waiting = Waiting::default();
@@ -385,11 +404,11 @@
         );
         railhub_platform::discovery::read(text.as_bytes(), &read.names).expect("a page")
     };
-    desk.hear_page(&page("-1"));
+    desk.hear_page(START, &page("-1"));
     assert_eq!((desk.hosts(), desk.generation()), (2, 41));
-    assert!(desk.hear_page(&page("1")));
+    assert!(desk.hear_page(START, &page("1")));
     assert_eq!((desk.hosts(), desk.generation()), (3, 42));
-    assert!(!desk.hear_page(&page("1")), "told already");
+    assert!(!desk.hear_page(START, &page("1")), "told already");
 }
 
 fn push_lines(waiting: &mut Waiting, count: u16) {
