--- a/crates/railhub-cli/tests/crossings.rs
+++ b/crates/railhub-cli/tests/crossings.rs
@@ -195,11 +195,11 @@
 }
 
 impl Steward {
-    /// Its process, whether it is up or not.
-    fn spawn(name: &str, relay: SocketAddr, discovery: SocketAddr) -> Steward {
+    /// Its process, whether it is up or not, by the file that this makes for its address.
+    fn spawn_by(name: &str, text: impl Fn(SocketAddr) -> String) -> Steward {
         let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         let file = std::env::temp_dir().join(format!("railhub-crossing-{name}-{}.json", std::process::id()));
-        std::fs::write(&file, file_text(listen, relay, discovery)).expect("writable");
+        std::fs::write(&file, text(listen)).expect("writable");
         Steward::of_file(file, listen)
     }
 
@@ -223,7 +223,7 @@
     }
 
     fn start(name: &str, relay: SocketAddr, discovery: SocketAddr) -> Steward {
-        let steward = Steward::spawn(name, relay, discovery);
+        let steward = Steward::spawn_by(name, |listen| file_text(listen, relay, discovery));
         eventually("it answers", || steward.answers());
         steward
     }
@@ -417,7 +417,7 @@
     news.say(&first_standing());
     let trickling = std::thread::spawn(move || {
         let began = Instant::now();
-        while began.elapsed() < PATIENCE && news.stream.write_all(b" ").is_ok() {
+        while began.elapsed() < 2 * PATIENCE && news.stream.write_all(b" ").is_ok() {
             std::thread::sleep(Duration::from_millis(200));
         }
     });
@@ -432,7 +432,7 @@
     let (mut stream, _) = discovery.watch();
     let trickling = std::thread::spawn(move || {
         let began = Instant::now();
-        while began.elapsed() < PATIENCE && stream.write_all(b"1\r\n \r\n").is_ok() {
+        while began.elapsed() < 2 * PATIENCE && stream.write_all(b"1\r\n \r\n").is_ok() {
             std::thread::sleep(Duration::from_millis(200));
         }
     });
@@ -468,6 +468,45 @@
     assert!(steward.log.lock().expect("alive").contains("a list older than the one known"));
 }
 
+#[test]
+fn a_fleet_that_comes_and_goes_within_a_second_is_taken_in_and_ordered_within_the_relays_limit() {
+    let (relay, discovery) = (Relay::open(), Discovery::idle());
+    let (proxies, slices) = (2400, 1300);
+    let text = |listen| {
+        let text = file_text(listen, relay.address, discovery);
+        text.replace("\"key_ranges\": 40", "\"key_ranges\": 1300").replace("900.5", "1e9")
+    };
+    let steward = Steward::spawn_by("size", text);
+    eventually("it answers", || steward.answers());
+    let mut news = relay.subscriber();
+    let stands: String = (0..proxies).map(joined).collect();
+    let tables: String = (0..slices).map(|slice| given(slice) + &held(slice, "s-1", 1.0)).collect();
+    news.say(&(subscribed() + &stands + &tables + PING));
+    // All leave, come back and confirm while the first orders are under way.
+    let changes = |n: u16| note("left", &format!("{{\"proxy\":{n}}}")) + &joined(n);
+    let confirms = |n: u16| note("applied", &format!("{{\"proxy\":{n},\"mark\":1,\"took_ms\":9.5}}"));
+    for _ in 0..3 {
+        news.say(&(0..proxies).map(|n| changes(n) + &confirms(n)).collect::<String>());
+    }
+    let (mut calls, mut call) = relay.caller();
+    let mut lines = 0;
+    while lines < usize::from(slices) {
+        assert!(call.len() < 60_000, "{} bytes", call.len());
+        lines += call.matches("\"share\"").count();
+        calls.say(&taken(&call));
+        if lines < usize::from(slices) {
+            call = calls.line("the rest");
+        }
+    }
+    assert_eq!(lines, usize::from(slices), "each standby once");
+    assert!(steward.answers() && relay.subscribers.try_recv().is_err(), "nobody was cut off");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", steward.child.id())).expect("a process");
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told").trim();
+    let megabytes = memory.split(' ').next().and_then(|kb| kb.parse::<u64>().ok()).expect("a number") >> 10;
+    // Half of the file's limit, past which a long day is priced.
+    assert!(megabytes <= 16, "{memory}");
+}
+
 #[test]
 fn sigterm_ends_it_well_at_once_with_a_call_out_and_while_it_starts() {
     let (_relay, mut steward, _news, _calls, _) = with_a_call_out("term");
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -264,6 +264,7 @@
 
     /// A line of a table that was given: just now, or so long ago that the module knows the slice already.
     fn hold(&mut self, slice: SliceId, host: HostId, weight: f64) {
+        let single_owner = self.single_owner;
         let pending = self.round.charges.iter_mut().chain(&mut self.charges);
         let lines = match pending.filter(|charge| charge.slice == slice).last() {
             Some(charge) if !charge.given => return,
@@ -275,7 +276,8 @@
                 &mut self.charges.last_mut().expect("pushed").lines
             }
         };
-        lines.retain(|line| line.0 != host);
+        // Where a slice has one owner, the line told last is the table.
+        lines.retain(|line| line.0 != host && !single_owner);
         lines.push((host, weight));
     }
 
@@ -536,6 +538,26 @@
         assert_eq!((list.whole, hosts), (true, vec!["s-1", "s-2", "n-499"]));
     }
 
+    #[test]
+    fn a_single_owners_table_never_has_two_lines_in_what_is_believed() {
+        let file =
+            include_str!("../tests/assignment.json").replace("\"exclusive\": false", "\"exclusive\": true");
+        let mut desk = Desk::new(&Assignment::read(&file).expect("a good file"));
+        let slice = SliceId(3);
+        desk.hear_news(1.0, NONE, News::Given { slice, on: true });
+        for name in ["s-1", "s-2"] {
+            desk.hear_news(
+                1.0,
+                NONE,
+                News::Held { slice, host: HostId::new(name).expect("a name"), weight: 1.0 },
+            );
+        }
+        assert_eq!(desk.charges[0].lines, [(HostId::new("s-2").expect("a name"), 1.0)]);
+        desk.waiting.push(Order::Line(slice, HostId::new("s-9").expect("a name"), 1.0));
+        let settled = desk.waiting.settled(slice, &desk.charges[0].lines);
+        assert_eq!(settled, [(HostId::new("s-9").expect("a name"), 1.0)]);
+    }
+
     #[test]
     fn a_line_joins_the_latest_word_on_its_slice() {
         let mut desk = desk();
