Crossings of an answer and its guard are forced; the trickling news test answers the call first

Sabotage showed that the trickling test passed without the mend: its call had no answer, so the steward asked anew for that. With the answer it fails without the mend (20 s without a new subscription).

--- a/crates/railhub-cli/tests/crossings.rs
+++ b/crates/railhub-cli/tests/crossings.rs
@@ -415,6 +415,9 @@
     let _steward = Steward::start("trickle", relay.address, Discovery::idle());
     let mut news = relay.subscriber();
     news.say(&first_standing());
+    // Without an answer it would ask anew for that.
+    let (mut calls, call) = relay.caller();
+    calls.say(&taken(&call));
     let trickling = std::thread::spawn(move || {
         let began = Instant::now();
         while began.elapsed() < 2 * PATIENCE && news.stream.write_all(b" ").is_ok() {
--- a/crates/railhub-net/src/deadline.rs
+++ b/crates/railhub-net/src/deadline.rs
@@ -186,6 +186,22 @@
         assert_eq!(ended, Ok((true, true)));
     }
 
+    #[test]
+    fn a_socket_whose_guard_fired_before_it_was_let_go_is_not_whole() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (sender, receiver) = channel();
+        crate::go(move || {
+            let stream = crate::dial(address, 1.0).expect("it listens");
+            let (late, early) = (Guard::both_ways(&stream, 0.0), Guard::both_ways(&stream, 60.0));
+            while !late.fired() {
+                may::coroutine::sleep(seconds(0.001));
+            }
+            sender.send((late.let_go(), early.let_go())).expect("still read");
+        });
+        assert_eq!(receiver.recv_timeout(seconds(10.0)), Ok((false, true)));
+    }
+
     #[test]
     fn things_happen_in_the_order_of_their_times() {
         let (sender, receiver) = channel();
