--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -19,6 +19,8 @@
 const CHARGE_QUIET: Seconds = 0.02;
 /// Orders taken while a subscription has not told what stands: past them it is asked for anew.
 const TAKEN_MOST: usize = 20_000;
+/// Seconds a list may be late: what discovery has to tell counts as told by then.
+const LATE_LIST: Seconds = 6.0;
 /// Sums that a round may hold; further ones are dropped, as the next say more.
 const SUMS_A_ROUND: usize = 8192;
 
@@ -76,6 +78,7 @@
     charges: Vec<Charge>,
     timers: Vec<(Seconds, TimerId)>,
     generation: u64,
+    listed_at: Seconds,
     /// Where each listed host is, and since when it runs.
     addresses: BTreeMap<HostId, (SocketAddr, Option<Seconds>)>,
     proxies: BTreeSet<ProxyId>,
@@ -108,6 +111,7 @@
             charges: Vec::new(),
             timers: Vec::new(),
             generation: 0,
+            listed_at: 0.0,
             addresses: BTreeMap::new(),
             proxies: BTreeSet::new(),
             waiting: Waiting::new(&assignment.terms),
@@ -115,7 +119,7 @@
             sums_dropped: 0,
             probes_outrun: 0,
         };
-        desk.hear_page(&assignment.known);
+        desk.hear_page(0.0, &assignment.known);
         desk
     }
 
@@ -124,11 +128,14 @@
         self.generation
     }
 
-    /// A page that is older than what is known, or known already, says nothing.
-    pub fn hear_page(&mut self, page: &Page) -> bool {
-        if page.generation < self.generation || page.generation == self.generation && !page.whole {
+    /// A page that is older than what is known, or known already, says nothing. A whole list under a lower number that
+    /// comes when nothing newer has for long is no late one: discovery began anew, and its old numbers with it.
+    pub fn hear_page(&mut self, now: Seconds, page: &Page) -> bool {
+        let late = page.generation < self.generation && !(page.whole && now - self.listed_at >= LATE_LIST);
+        if late || page.generation == self.generation && !page.whole {
             return false;
         }
+        self.listed_at = now;
         // What was spoilt is told again under the same number.
         if page.spoilt.is_empty() {
             self.generation = page.generation;
@@ -257,6 +264,7 @@
 
     /// A line of a table that was given: just now, or so long ago that the module knows the slice already.
     fn hold(&mut self, slice: SliceId, host: HostId, weight: f64) {
+        let single_owner = self.single_owner;
         let pending = self.round.charges.iter_mut().chain(&mut self.charges);
         let lines = match pending.filter(|charge| charge.slice == slice).last() {
             Some(charge) if !charge.given => return,
@@ -268,7 +276,8 @@
                 &mut self.charges.last_mut().expect("pushed").lines
             }
         };
-        lines.retain(|line| line.0 != host);
+        // Where a slice has one owner, the line told last is the table.
+        lines.retain(|line| line.0 != host && !single_owner);
         lines.push((host, weight));
     }
 
@@ -522,13 +531,33 @@
                  {{\"instanceId\":\"n-{old}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"gone\",\"weight\":1}},\
                  {{\"instanceId\":\"n-{new}\",\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"ready\",\"weight\":1}}]}}"
             );
-            assert!(desk.hear_page(&crate::discovery::read(page.as_bytes(), &names).expect("a page")));
+            assert!(desk.hear_page(1.0, &crate::discovery::read(page.as_bytes(), &names).expect("a page")));
         }
         let [list] = desk.round.lists.as_slice() else { panic!("one list") };
         let hosts: Vec<&str> = list.entries.iter().map(|entry| entry.host.name()).collect();
         assert_eq!((list.whole, hosts), (true, vec!["s-1", "s-2", "n-499"]));
     }
 
+    #[test]
+    fn a_single_owners_table_never_has_two_lines_in_what_is_believed() {
+        let file =
+            include_str!("../tests/assignment.json").replace("\"exclusive\": false", "\"exclusive\": true");
+        let mut desk = Desk::new(&Assignment::read(&file).expect("a good file"));
+        let slice = SliceId(3);
+        desk.hear_news(1.0, NONE, News::Given { slice, on: true });
+        for name in ["s-1", "s-2"] {
+            desk.hear_news(
+                1.0,
+                NONE,
+                News::Held { slice, host: HostId::new(name).expect("a name"), weight: 1.0 },
+            );
+        }
+        assert_eq!(desk.charges[0].lines, [(HostId::new("s-2").expect("a name"), 1.0)]);
+        desk.waiting.push(Order::Line(slice, HostId::new("s-9").expect("a name"), 1.0));
+        let settled = desk.waiting.settled(slice, &desk.charges[0].lines);
+        assert_eq!(settled, [(HostId::new("s-9").expect("a name"), 1.0)]);
+    }
+
     #[test]
     fn a_line_joins_the_latest_word_on_its_slice() {
         let mut desk = desk();
