The busy share of a host is read by the name that the settings give it

From 12 s on, half of the operations are refused though p50 is 213 ms and hosts have room. A trace of levels each turn shows why: the speed of hosts is believed to halve in the burst (core time 0.19 to 0.34 s) and takes 15 s to come back, and class 1 stays at 0 for 12 s. The reports carry `"load":{"busy":...}` (logs of refused ones: 231 `busy`, 799 `rif`, none `util`), as the settings' `telemetry.names` say; collector.rs read `util` and `inflight` alone, so each host's busy share was guessed there.

Change: both names are read.

--- a/crates/railhub-platform/src/collector.rs
+++ b/crates/railhub-platform/src/collector.rs
@@ -44,11 +44,12 @@
     load: Option<Load>,
 }
 
+/// The protocol's page and the settings (`telemetry.names`) call the same figures by other names.
 #[derive(Deserialize)]
 struct Load {
-    #[serde(default)]
+    #[serde(default, alias = "rif")]
     inflight: Option<f64>,
-    #[serde(default)]
+    #[serde(default, alias = "busy")]
     util: Option<f64>,
 }
 
--- a/crates/railhub-platform/tests/decoders.rs
+++ b/crates/railhub-platform/tests/decoders.rs
@@ -67,6 +67,10 @@
     let Ok(Frame::Tries(sum)) = frame(heard) else { panic!("a report") };
     assert_eq!((sum.tries, sum.failed, sum.mean_time, sum.span), (212.0, 3.0, 0.0415, 1.0));
     assert_eq!((sum.zone, sum.busy), (ZoneId(0), Some(0.61)));
+    // As the settings of another customer name the same figures.
+    let renamed = heard.replace("inflight", "rif").replace("util", "busy");
+    assert!(matches!(frame(&renamed), Ok(Frame::Tries(sum)) if sum.busy == Some(0.61)));
+    assert!(frame(&renamed.replace("0.61", "61")).is_err(), "a share out of range");
     // An operation may fail in a later span than the one it came in.
     let heat = r#"{"t":"heat","slice":30,"class":"deposit","tries":0,"failed":1,"span_ms":500}"#;
     let Ok(Frame::Demand(sum)) = frame(heat) else { panic!("a report") };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -568,7 +568,7 @@
         self.end_deltas(now);
     }
 
-    /// Guards single owners: all proxies that stand know that a table is empty, and those that left write for a
+    /// Guards single owners: all proxies that stand know that a table is empty, those that left write for a
     /// lease at most; the last write to the former owner ends a life after that.
     fn end_deltas(&mut self, now: Seconds) {
         let (slices, left_at, terms) = (&mut self.slices, self.left_at, &self.terms);
