--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -337,6 +337,26 @@
     assert_eq!(desk.hosts(), 2);
 }
 
+#[test]
+fn a_call_in_doubt_about_a_slice_that_went_to_another_steward_is_not_said_again() {
+    // Both hold desks of their own; the relay carried the call out or not, and gave the slice on meanwhile.
+    for carried_out in [true, false] {
+        let (mut first, _) = with_a_call_out();
+        first.end_call(None);
+        first.hear_news(START + 0.1, News::Given { slice: SliceId(3), on: false });
+        let mut heir = Desk::new(&assignment());
+        stands(&mut heir, START, &[joined(1)]);
+        settle(&mut heir, START);
+        let table = [given(3), held(3, 1), standby(0.0)];
+        table[..2 + usize::from(carried_out)].iter().for_each(|news| heir.hear_news(START + 0.1, *news));
+        stands(&mut first, START + 0.2, &[joined(1)]);
+        first.act(START + 0.2);
+        assert!(!first.next_call().is_some_and(|call| text(&call).contains("\"table\":3")));
+        // The heir says what the table lacks, once.
+        assert_eq!(settle(&mut heir, START + 0.2).contains("\"table\":3"), !carried_out);
+    }
+}
+
 #[test]
 fn a_call_said_again_leaves_out_tables_that_are_held_no_more() {
     let mut waiting = Waiting::default();
