--- a/crates/railhub-adapter/src/conf.rs
+++ b/crates/railhub-adapter/src/conf.rs
@@ -36,13 +36,14 @@
             },
         });
     }
-    let seconds_if_told = |name: &str| line.maybe(name).map_or(Ok(0.0), |_| line.seconds(name));
+    let single_owner = line.flag("family_info.exclusive")?;
+    let write_time = |name: &str| if single_owner { line.seconds(name) } else { Ok(0.0) };
     let terms = Terms {
         classes,
         slices: line.get("family_info.key_ranges")?,
-        single_owner: line.flag("family_info.exclusive")?,
-        write_lease: seconds_if_told("family_info.write_lease_us")?,
-        write_life: seconds_if_told("family_info.write_life_us")?,
+        single_owner,
+        write_lease: write_time("family_info.write_lease_us")?,
+        write_life: write_time("family_info.write_life_us")?,
         may_probe: line.flag("ceilings.probes")?,
         dropped_may_stay: line
             .maybe("rules.removal_not_binding")
--- a/crates/railhub-cli/tests/crossings.rs
+++ b/crates/railhub-cli/tests/crossings.rs
@@ -1,17 +1,15 @@
 //! Two events that cross at the steward of the platform, as a process on loopback. A scripted relay or discovery holds
 //! its answer, cuts or speaks where the test says, so that each crossing comes about every time.
+mod common;
+
+use common::{eventually, file_text, free_port, Steward, PATIENCE};
+use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::os::unix::fs::OpenOptionsExt;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const FILE: &str = include_str!("../../railhub-platform/tests/assignment.json");
-/// Long for anything that should happen at once, on a machine that is busy with other tests.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 /// A connection that came to a listener of ours, and the lines that it brings.
 struct Peer {
     stream: TcpStream,
@@ -180,104 +178,17 @@
     }
 }
 
-/// A steward's process; ended when this is dropped.
-struct Steward {
-    child: Child,
-    file: PathBuf,
-    listen: SocketAddr,
-    log: Arc<Mutex<String>>,
-}
-
-fn file_text(listen: SocketAddr, relay: SocketAddr, discovery: SocketAddr) -> String {
-    let named = FILE.replacen("127.0.0.1:7070", &listen.to_string(), 1);
-    let named = named.replace("127.0.0.1:6400", &relay.to_string());
-    named.replace("127.0.0.1:8500", &discovery.to_string()).replace("\"probes\": true", "\"probes\": false")
+/// A new file and the signal that it is there.
+fn move_to(steward: &Steward, relay: SocketAddr, discovery: SocketAddr) {
+    std::fs::write(&steward.file, file_text(steward.listen, relay, discovery)).expect("writable");
+    steward.signal(libc::SIGHUP);
 }
 
-impl Steward {
-    /// Its process, whether it is up or not, by the file that this makes for its address.
-    fn spawn_by(name: &str, text: impl Fn(SocketAddr) -> String) -> Steward {
-        let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-        let file = std::env::temp_dir().join(format!("railhub-crossing-{name}-{}.json", std::process::id()));
-        std::fs::write(&file, text(listen)).expect("writable");
-        Steward::of_file(file, listen)
-    }
-
-    fn of_file(file: PathBuf, listen: SocketAddr) -> Steward {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_railhub"))
-            .args(["steward", "--platform"])
-            .env("NODE_CONFIG", &file)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("built");
-        let log: Arc<Mutex<String>> = Arc::default();
-        let (errors, kept) = (child.stderr.take().expect("piped"), log.clone());
-        std::thread::spawn(move || {
-            for line in BufReader::new(errors).lines().map_while(Result::ok) {
-                let mut kept = kept.lock().expect("alive");
-                kept.push_str(&line);
-                kept.push('\n');
-            }
-        });
-        Steward { child, file, listen, log }
-    }
-
-    fn start(name: &str, relay: SocketAddr, discovery: SocketAddr) -> Steward {
-        let steward = Steward::spawn_by(name, |listen| file_text(listen, relay, discovery));
-        eventually("it answers", || steward.answers());
-        steward
-    }
-
-    fn answers(&self) -> bool {
-        let mut answer = [0; 16];
-        let ping = [&12u32.to_be_bytes()[..], br#"{"t":"ping"}"#].concat();
-        TcpStream::connect(self.listen).is_ok_and(|mut stream| {
-            stream.set_read_timeout(Some(PATIENCE)).expect("a time");
-            stream.write_all(&ping).is_ok()
-                && stream.read_exact(&mut answer).is_ok()
-                && answer[4..] == *br#"{"t":"pong"}"#
-        })
-    }
-
-    fn moves_to(&self, relay: SocketAddr, discovery: SocketAddr) {
-        std::fs::write(&self.file, file_text(self.listen, relay, discovery)).expect("writable");
-        self.signal(libc::SIGHUP);
-    }
-
-    fn signal(&self, signal: i32) {
-        // SAFETY: the process is a child of ours that has not been waited for.
-        assert_eq!(unsafe { libc::kill(self.child.id() as i32, signal) }, 0);
-    }
-
-    /// How it ended, and within what.
-    fn ends(&mut self) -> (Option<i32>, Duration) {
-        let began = Instant::now();
-        let mut status = None;
-        eventually("it ends", || {
-            status = self.child.try_wait().expect("a child");
-            status.is_some()
-        });
-        (status.and_then(|status| status.code()), began.elapsed())
-    }
-}
-
-impl Drop for Steward {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-        if std::thread::panicking() {
-            eprintln!("{}", self.log.lock().expect("alive"));
-        }
-    }
-}
-
-fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+/// How it ended, and within what.
+fn ends(steward: &mut Steward) -> (Option<i32>, Duration) {
     let began = Instant::now();
-    while !holds() {
-        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    eventually("it ends", || steward.ended().is_some());
+    (steward.ended().and_then(|status| status.code()), began.elapsed())
 }
 
 /// A steward whose first call, the standby of slice 3, is out.
@@ -328,16 +239,14 @@
     let (relay, steward, mut news, mut calls, call) = with_a_call_out("crossing");
     // The new relay tells what stood before the call was carried out, and its answer comes in the midst of it.
     let next = Relay::open();
-    steward.moves_to(next.address, Discovery::idle());
+    move_to(&steward, next.address, Discovery::idle());
     let mut later = next.subscriber();
     later.say(&(subscribed() + &joined(1) + &given(3)));
     news.ended();
     // All but the mark at its end is taken: the log tells when the steward knows.
     let count = call.matches("\"op\"").count() - 1;
     calls.say(&format!("{{\"id\":{},\"result\":{{\"taken\":{count}}}}}\n", id(&call)));
-    eventually("the answer is known", || {
-        steward.log.lock().expect("alive").contains("does not take an order")
-    });
+    eventually("the answer is known", || steward.says("does not take an order"));
     later.say(&(held(3, "s-1", 1.0) + PING + &given(5) + &held(5, "s-1", 1.0)));
     let (_, said) = next.caller();
     assert!(said.contains("\"table\":5") && !said.contains("\"table\":3"), "{said}");
@@ -365,7 +274,7 @@
     let steward = Steward::start("late-answer", old.address, Discovery::idle());
     // The first subscription is on its way when the file changes; the newer one stands before it is answered.
     let mut late = old.subscriber();
-    steward.moves_to(new.address, Discovery::idle());
+    move_to(&steward, new.address, Discovery::idle());
     let mut news = new.subscriber();
     news.say(&first_standing());
     let (mut calls, call) = new.caller();
@@ -386,7 +295,7 @@
     let mut held_back = vec![relays[0].subscriber()];
     // Each file comes before the subscription of the one before it was answered.
     for relay in &relays[1..] {
-        steward.moves_to(relay.address, Discovery::idle());
+        move_to(&steward, relay.address, Discovery::idle());
         held_back.push(relay.subscriber());
     }
     let mut last = held_back.pop().expect("three");
@@ -473,7 +382,7 @@
         let _ = stream.read(&mut [0; 64]);
     };
     assert!(after.contains("after=3 ") && began.elapsed() > Duration::from_secs(5), "{after}");
-    assert!(steward.log.lock().expect("alive").contains("a list older than the one known"));
+    assert!(steward.says("a list older than the one known"));
 }
 
 #[test]
@@ -484,8 +393,7 @@
         let text = file_text(listen, relay.address, discovery);
         text.replace("\"key_ranges\": 40", "\"key_ranges\": 1300").replace("900.5", "1e9")
     };
-    let steward = Steward::spawn_by("size", text);
-    eventually("it answers", || steward.answers());
+    let steward = Steward::start_by("size", text);
     let mut news = relay.subscriber();
     let stands: String = (0..proxies).map(joined).collect();
     let tables: String = (0..slices).map(|slice| given(slice) + &held(slice, "s-1", 1.0)).collect();
@@ -507,7 +415,7 @@
         }
     }
     assert_eq!(lines, usize::from(slices), "each standby once");
-    assert!(steward.answers() && relay.subscribers.try_recv().is_err(), "nobody was cut off");
+    assert!(steward.try_ping() && relay.subscribers.try_recv().is_err(), "nobody was cut off");
     let status = std::fs::read_to_string(format!("/proc/{}/status", steward.child.id())).expect("a process");
     let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told").trim();
     let megabytes = memory.split(' ').next().and_then(|kb| kb.parse::<u64>().ok()).expect("a number") >> 10;
@@ -519,7 +427,7 @@
 fn sigterm_ends_it_well_at_once_with_a_call_out_and_while_it_starts() {
     let (_relay, mut steward, _news, _calls, _) = with_a_call_out("term");
     steward.signal(libc::SIGTERM);
-    let (code, within) = steward.ends();
+    let (code, within) = ends(&mut steward);
     // SIGKILL follows no sooner than 0.7 s after.
     assert!(code == Some(0) && within < Duration::from_millis(700), "{code:?} after {within:?}");
     // A pipe in the file's place holds the start before the signals are watched.
@@ -527,21 +435,26 @@
     let name = std::ffi::CString::new(pipe.to_str().expect("text")).expect("no zero in it");
     // SAFETY: the name ends in a zero and is read alone.
     assert_eq!(unsafe { libc::mkfifo(name.as_ptr(), 0o600) }, 0);
-    let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let listen = free_port();
     let mut starting = Steward::of_file(pipe.clone(), listen);
     // It comes to the pipe once it has taken its signals; the writer's end opens only then.
-    let mut writer = std::fs::OpenOptions::new().write(true).open(&pipe).expect("a reader came");
+    let mut writer = None;
+    eventually("a reader comes", || {
+        writer = OpenOptions::new().write(true).custom_flags(libc::O_NONBLOCK).open(&pipe).ok();
+        writer.is_some()
+    });
+    let mut writer = writer.expect("it came");
     starting.signal(libc::SIGTERM);
     let text = file_text(listen, Relay::open().address, Discovery::idle());
     writer.write_all(text.as_bytes()).expect("it reads");
     drop(writer);
-    assert_eq!(starting.ends().0, Some(0));
+    assert_eq!(ends(&mut starting).0, Some(0));
 }
 
 #[test]
 fn it_starts_and_answers_whatever_discovery_and_relay_do_and_anew_where_it_was_killed() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let away = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let away = free_port();
     let silent = silent.local_addr().map(|address| (address, silent)).expect("bound");
     for (n, (relay, discovery)) in
         [(away, away), (silent.0, silent.0), (away, silent.0), (silent.0, away)].into_iter().enumerate()
@@ -549,10 +462,10 @@
         let mut steward = Steward::start(&format!("alone-{n}"), relay, discovery);
         let visitor = TcpStream::connect(steward.listen).expect("listens");
         steward.signal(libc::SIGKILL);
-        steward.ends();
+        ends(&mut steward);
         // At once under the same address, while a connection of the killed one still stands here.
         let again = Steward::of_file(steward.file.clone(), steward.listen);
-        eventually("it answers again", || again.answers());
+        eventually("it answers again", || again.try_ping());
         drop(visitor);
     }
 }
--- a/crates/railhub-cli/tests/platform.rs
+++ b/crates/railhub-cli/tests/platform.rs
@@ -1,15 +1,13 @@
 //! `railhub steward --platform` as a process, between a stand-in relay and a stand-in discovery on loopback.
+mod common;
+
+use common::{eventually, file_text, framed, ping, Steward, FILE, PATIENCE};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const FILE: &str = include_str!("../../railhub-platform/tests/assignment.json");
-/// Long for anything that should happen at once, on a machine that is busy with other tests.
-const PATIENCE: Duration = Duration::from_secs(10);
-
 #[derive(Clone, Copy, PartialEq)]
 enum Mood {
     Takes,
@@ -137,100 +135,6 @@
     (address, watches)
 }
 
-/// A steward's process; ended when this is dropped.
-struct Steward {
-    child: Child,
-    file: PathBuf,
-    listen: SocketAddr,
-    log: Arc<Mutex<String>>,
-}
-
-fn file_text(listen: SocketAddr, relay: SocketAddr, discovery: SocketAddr) -> String {
-    let named = FILE.replacen("127.0.0.1:7070", &listen.to_string(), 1);
-    let named = named.replace("127.0.0.1:6400", &relay.to_string());
-    // Nobody listens where the hosts are said to be, so the module is told not to probe them.
-    named.replace("127.0.0.1:8500", &discovery.to_string()).replace("\"probes\": true", "\"probes\": false")
-}
-
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound")
-}
-
-impl Steward {
-    fn start(name: &str, relay: SocketAddr, discovery: SocketAddr) -> Steward {
-        let listen = free_port();
-        let file = std::env::temp_dir().join(format!("railhub-{name}-{}.json", std::process::id()));
-        std::fs::write(&file, file_text(listen, relay, discovery)).expect("writable");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_railhub"))
-            .args(["steward", "--platform"])
-            .env("NODE_CONFIG", &file)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("built");
-        let log: Arc<Mutex<String>> = Arc::default();
-        let (errors, kept) = (child.stderr.take().expect("piped"), log.clone());
-        std::thread::spawn(move || {
-            for line in BufReader::new(errors).lines().map_while(Result::ok) {
-                let mut kept = kept.lock().expect("alive");
-                kept.push_str(&line);
-                kept.push('\n');
-            }
-        });
-        let steward = Steward { child, file, listen, log };
-        eventually("it answers", || steward.try_ping());
-        steward
-    }
-
-    fn try_ping(&self) -> bool {
-        TcpStream::connect(self.listen).is_ok_and(|mut stream| ping(&mut stream))
-    }
-
-    fn signal(&self, signal: i32) {
-        // SAFETY: the process is a child of ours that has not been waited for.
-        assert_eq!(unsafe { libc::kill(self.child.id() as i32, signal) }, 0);
-    }
-
-    fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().expect("a child")
-    }
-
-    fn says(&self, words: &str) -> bool {
-        self.log.lock().expect("alive").contains(words)
-    }
-}
-
-impl Drop for Steward {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-        if std::thread::panicking() {
-            eprintln!("{}", self.log.lock().expect("alive"));
-        }
-    }
-}
-
-fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !holds() {
-        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
-fn framed(body: &str) -> Vec<u8> {
-    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
-    bytes.extend_from_slice(body.as_bytes());
-    bytes
-}
-
-fn ping(stream: &mut TcpStream) -> bool {
-    let mut answer = [0; 16];
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time");
-    let sent = stream.write_all(&framed(r#"{"t":"ping"}"#)).is_ok();
-    sent && stream.read_exact(&mut answer).is_ok() && answer[4..] == *br#"{"t":"pong"}"#
-}
-
 fn collector(steward: &Steward) -> TcpStream {
     let mut stream = TcpStream::connect(steward.listen).expect("listens");
     stream.write_all(&framed(r#"{"t":"collector","zone":"a"}"#)).expect("taken");
--- a/crates/railhub-platform-net/src/owner.rs
+++ b/crates/railhub-platform-net/src/owner.rs
@@ -35,6 +35,8 @@
     pub probes_outrun: u64,
     /// Orders that a later one about the same made needless.
     pub folded: u64,
+    /// Levels of classes that the settings do not name: left out.
+    pub unnamed: u64,
     pub late_99: Seconds,
     pub late_most: Seconds,
     pub call_99: Seconds,
@@ -198,7 +200,7 @@
         (shown.waiting, shown.informed) = (self.desk.orders_waiting(), self.desk.is_informed());
         shown.sums_dropped = self.desk.sums_dropped + self.shared.inbox.sums_dropped.load(Ordering::Relaxed);
         (shown.probes_dropped, shown.folded) = (self.probes.dropped(), self.desk.orders_folded());
-        shown.probes_outrun = self.desk.probes_outrun;
+        (shown.probes_outrun, shown.unnamed) = (self.desk.probes_outrun, self.desk.orders_unnamed());
         let tail = |times: &Histogram<u64>| (span(times.value_at_quantile(0.99)), span(times.max()));
         (shown.late_99, shown.late_most) = tail(&self.late);
         (shown.call_99, shown.call_most) = tail(&self.called);
--- a/crates/railhub-platform-net/src/shared.rs
+++ b/crates/railhub-platform-net/src/shared.rs
@@ -49,9 +49,9 @@
 /// The line that stands for something, with the version of the file that named its peer. A newer one ends it; an older
 /// follower, however late it comes between two lines of ours, does not end a newer one's.
 #[derive(Default)]
-pub struct Standing(Mutex<Option<(u64, Closer)>>);
+pub struct StandingLine(Mutex<Option<(u64, Closer)>>);
 
-impl Standing {
+impl StandingLine {
     /// Whether the line stands now.
     pub fn take_over(&self, version: u64, line: Closer) -> bool {
         let mut standing = self.0.lock().expect("no holder panics");
@@ -87,8 +87,8 @@
     /// Subscriptions that were to be asked for, whether the relay could be reached or not.
     pub asked: AtomicU64,
     /// The subscription and the watch that stand.
-    pub news_line: Standing,
-    pub watch_line: Standing,
+    pub news_line: StandingLine,
+    pub watch_line: StandingLine,
     pub held: Held,
     pub counts: Counts,
     pub owner: Mutex<crate::owner::Shown>,
@@ -106,8 +106,8 @@
                 discovery: assignment.discovery,
             }),
             asked: AtomicU64::new(0),
-            news_line: Standing::default(),
-            watch_line: Standing::default(),
+            news_line: StandingLine::default(),
+            watch_line: StandingLine::default(),
             held: Held::default(),
             counts: Counts::default(),
             owner: Mutex::default(),
--- a/crates/railhub-platform/src/assignment.rs
+++ b/crates/railhub-platform/src/assignment.rs
@@ -114,11 +114,11 @@
     messages_over_us: u64,
     throttle_by: String,
     update_cap: u32,
-    /// Told where a slice has one owner.
+    /// Needed where a slice has one owner.
     #[serde(default)]
-    write_lease_us: u64,
+    write_lease_us: Option<u64>,
     #[serde(default)]
-    write_life_us: u64,
+    write_life_us: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -219,14 +219,23 @@
     })
 }
 
+/// Taken for nothing where it is lacking, it would let two hosts have one owner's writes.
+fn write_time(family: &Family, micros: Option<u64>, at: &str) -> Result<Seconds, AssignmentFault> {
+    match micros {
+        Some(micros) => seconds(micros, at),
+        None if family.exclusive => Err(fault(at, "is needed where a slice has one owner")),
+        None => Ok(0.0),
+    }
+}
+
 fn terms(told: &Told, classes: Vec<ClassTerms>) -> Result<Terms, AssignmentFault> {
     let Told { ceilings, family_info: family, rules, .. } = told;
     Ok(Terms {
         classes,
         slices: family.key_ranges,
         single_owner: family.exclusive,
-        write_lease: seconds(family.write_lease_us, "settings.family_info.write_lease_us")?,
-        write_life: seconds(family.write_life_us, "settings.family_info.write_life_us")?,
+        write_lease: write_time(family, family.write_lease_us, "settings.family_info.write_lease_us")?,
+        write_life: write_time(family, family.write_life_us, "settings.family_info.write_life_us")?,
         may_probe: ceilings.probes,
         dropped_may_stay: rules.removal_not_binding,
         levels_by_share: family.throttle_by == "share",
--- a/crates/railhub-platform/src/desk.rs
+++ b/crates/railhub-platform/src/desk.rs
@@ -65,7 +65,7 @@
     /// The subscription whose news counts, and the newest that was asked for.
     source: SubscriptionId,
     asked: SubscriptionId,
-    /// Those asked for whose standing is not taken in, and lines that the relay took meanwhile, each with the newest
+    /// Those asked for whose standing is not taken in, one a follower until its line ends, and lines that the relay took meanwhile, each with the newest
     /// of them: what stands may have been told from before they were taken.
     untold: BTreeSet<SubscriptionId>,
     taken: Vec<(SubscriptionId, Order)>,
@@ -337,6 +337,11 @@
         self.standing.as_ref().filter(|standing| standing.source > doubt)
     }
 
+    /// Before all of it is told: a slice that is not told yet must not pass for one that is held no more.
+    fn shows_call_early(&self) -> Option<&Standing> {
+        self.shows_call().filter(|standing| self.waiting.is_out_about(&standing.charges))
+    }
+
     fn drop_taken(&mut self) {
         if self.untold.is_empty() {
             self.taken.clear();
@@ -354,7 +359,7 @@
     /// When [`Desk::act`] has something to do, if nothing comes in before.
     pub fn next_due(&self) -> Option<Seconds> {
         let standing = self.standing.as_ref().map(|standing| standing.told_at + self.standing_quiet());
-        let settled = self.shows_call().map(|standing| standing.told_at + FIRST_QUIET);
+        let settled = self.shows_call_early().map(|standing| standing.told_at + FIRST_QUIET);
         let charges = (!self.charges.is_empty()).then_some(self.charges_at + CHARGE_QUIET);
         let timer = self.timers.iter().map(|(at, _)| *at).min_by(f64::total_cmp);
         let news = self.news.then_some(self.ran_at + self.tick);
@@ -369,7 +374,7 @@
         if self.standing.as_ref().is_some_and(|standing| now - standing.told_at >= quiet) {
             self.take_standing();
         }
-        if self.standing.as_ref().is_some_and(|standing| now - standing.told_at >= FIRST_QUIET) {
+        if self.shows_call_early().is_some_and(|standing| now - standing.told_at >= FIRST_QUIET) {
             self.settle_call();
         }
         if !self.charges.is_empty() && now - self.charges_at >= CHARGE_QUIET {
@@ -468,6 +473,10 @@
     pub fn orders_folded(&self) -> u64 {
         self.waiting.folded
     }
+
+    pub fn orders_unnamed(&self) -> u64 {
+        self.waiting.unnamed
+    }
 }
 
 /// Whether there was room.
@@ -540,8 +549,10 @@
 
     #[test]
     fn a_single_owners_table_never_has_two_lines_in_what_is_believed() {
-        let file =
-            include_str!("../tests/assignment.json").replace("\"exclusive\": false", "\"exclusive\": true");
+        let file = include_str!("../tests/assignment.json").replace(
+            "\"exclusive\": false",
+            "\"exclusive\": true, \"write_lease_us\": 4000000, \"write_life_us\": 3000000",
+        );
         let mut desk = Desk::new(&Assignment::read(&file).expect("a good file"));
         let slice = SliceId(3);
         desk.hear_news(1.0, NONE, News::Given { slice, on: true });
--- a/crates/railhub-platform/src/orders.rs
+++ b/crates/railhub-platform/src/orders.rs
@@ -109,6 +109,8 @@
     /// Orders were dropped for want of room: the relay's tables are not what the module believes.
     pub overflowed: bool,
     pub folded: u64,
+    /// Levels of classes without a name.
+    pub unnamed: u64,
 }
 
 impl Waiting {
@@ -151,7 +153,9 @@
     pub fn call(&mut self, classes: &[String]) -> Option<Call> {
         // A class without a name cannot be said; said of all classes it would do harm.
         let named = |order: &Order| !matches!(order, Order::Level(class, ..) if usize::from(class.0) >= classes.len());
+        let all = self.queue.len();
         self.queue.retain(|(_, order)| named(order));
+        self.unnamed += (all - self.queue.len()) as u64;
         let again = !self.out.is_empty();
         if !again && self.queue.is_empty() {
             return None;
@@ -196,6 +200,11 @@
         (taken, (!self.out.is_empty()).then(|| self.out.remove(0)))
     }
 
+    /// Whether all tables that the call which is out names are among these.
+    pub fn is_out_about(&self, tables: &BTreeMap<SliceId, Vec<(HostId, f64)>>) -> bool {
+        self.out.iter().all(|order| !matches!(order, Order::Line(slice, ..) if !tables.contains_key(slice)))
+    }
+
     /// The call that is out has no known end, and this stands since: said again, what was carried out would wait in
     /// the channel twice. A table shows it by the last line that was ordered of it. Where all tables do, the whole
     /// call was carried out; else what they don't show is said again, but for tables that are held no more.
--- a/crates/railhub-platform/tests/decoders.rs
+++ b/crates/railhub-platform/tests/decoders.rs
@@ -40,6 +40,8 @@
     let class = fault("\"effect\": \"once\"", "\"effect\": \"often\"");
     assert_eq!(class, "settings.request_classes[1].effect: cannot be 'often'");
     assert!(fault("\"backlog\": 900.5", "\"backlog\": -1").starts_with("settings.family_info.backlog: "));
+    let one_owner = fault("\"exclusive\": false", "\"exclusive\": true");
+    assert_eq!(one_owner, "settings.family_info.write_lease_us: is needed where a slice has one owner");
     assert!(Assignment::read(&FILE[..FILE.len() / 2]).is_err());
 }
 
--- a/crates/railhub-platform/tests/desk.rs
+++ b/crates/railhub-platform/tests/desk.rs
@@ -154,28 +154,27 @@
 }
 
 #[test]
-fn a_call_without_known_end_is_said_again_once_what_stands_since_shows_that_it_was_not_carried_out() {
-    let (mut desk, call) = with_a_call_out();
-    assert!(desk.end_call(None).is_none());
-    assert!(desk.must_ask_anew().is_some(), "the relay alone can tell");
-    desk.act(START + 0.1);
-    assert!(desk.next_call().is_none(), "carried out, it would wait in the channel twice");
-    stands(&mut desk, START + 0.2, &[joined(1), given(3), held(3, 1)]);
-    desk.act(START + 0.2);
-    let again = desk.next_call().expect("it was not carried out");
-    assert_eq!(orders(&again), orders(&call));
-    assert!(again.id > call.id, "an answer to the first must not pass for this one's");
-    desk.end_call(Some(Answer::Taken(again.count)));
-    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
-}
-
-#[test]
-fn a_call_without_known_end_that_was_carried_out_is_not_said_again() {
-    let (mut desk, _) = with_a_call_out();
-    desk.end_call(None);
-    stands(&mut desk, START + 0.2, &[joined(1), given(3), held(3, 1), standby(0.0)]);
-    desk.act(START + 0.2);
-    assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+fn a_call_without_known_end_is_said_again_only_if_what_stands_since_shows_that_it_was_not_carried_out() {
+    for carried_out in [false, true] {
+        let (mut desk, call) = with_a_call_out();
+        assert!(desk.end_call(None).is_none());
+        assert!(desk.must_ask_anew().is_some(), "the relay alone can tell");
+        desk.act(START + 0.1);
+        assert!(desk.next_call().is_none(), "carried out, it would wait in the channel twice");
+        let table = [joined(1), given(3), held(3, 1), standby(0.0)];
+        stands(&mut desk, START + 0.2, &table[..3 + usize::from(carried_out)]);
+        desk.act(START + 0.2);
+        let again = desk.next_call();
+        if carried_out {
+            assert!(!again.is_some_and(|call| text(&call).contains("share")));
+            continue;
+        }
+        let again = again.expect("it was not carried out");
+        assert_eq!(orders(&again), orders(&call));
+        assert!(again.id > call.id, "an answer to the first must not pass for this one's");
+        desk.end_call(Some(Answer::Taken(again.count)));
+        assert!(!desk.next_call().is_some_and(|call| text(&call).contains("share")));
+    }
 }
 
 #[test]
@@ -210,6 +209,24 @@
     assert!(desk.next_call().is_some(), "no sign of life need be waited for");
 }
 
+#[test]
+fn a_slice_that_is_not_told_yet_does_not_pass_for_one_that_is_held_no_more() {
+    let mut desk = Desk::new(&assignment());
+    let tables = [joined(1), given(3), held(3, 1), given(4), held(4, 1)];
+    stands(&mut desk, START, &tables);
+    desk.act(START);
+    let call = desk.next_call().expect("two standbys");
+    desk.end_call(None);
+    desk.hear_news(START + 0.2, News::Subscribed);
+    tables[..3].iter().for_each(|news| desk.hear_news(START + 0.2, *news));
+    // The telling pauses for longer than it takes to see how a call ended.
+    desk.act(START + 0.4);
+    assert!(desk.next_call().is_none() && desk.next_due().is_some_and(|due| due > START + 0.4));
+    tables[3..].iter().chain([&News::Ping]).for_each(|news| desk.hear_news(START + 0.5, *news));
+    desk.act(START + 0.5);
+    assert_eq!(orders(&desk.next_call().expect("it was not carried out")), orders(&call));
+}
+
 #[test]
 fn a_line_taken_after_what_stands_was_told_is_not_lost_to_it_in_either_order() {
     // The relay tells slice 3 without the line, then takes the line; the answer overtakes the end of the telling,
@@ -375,6 +392,7 @@
     waiting.push(Order::Level(ClassId(1), 0.5, SecondTry::Never));
     waiting.push(Order::Level(ClassId(0), 0.7, SecondTry::Never));
     let call = waiting.call(&["view".to_owned()]).expect("a call");
+    assert_eq!(waiting.unnamed, 1);
     assert!(call.count == 1 && text(&call).contains("view") && !text(&call).contains('*'), "{}", text(&call));
 }
 
