--- a/review/standins/ishikari.py
+++ b/review/standins/ishikari.py
@@ -28,7 +28,7 @@
     return made
 
 
-def build(folder):
+def build(folder, proxy_count=4):
     family = {
         "backlog": 12000.0, "buffer_for_us": 200000, "cycle_us": 500000, "empty_for_us": int(EMPTY_FOR * 1e6),
         "envelope": float(HEAD), "hears_per_s": 150.0, "late_us": 300000, "messages_over_us": 10000000,
@@ -38,8 +38,8 @@
         "ask_within_us": 10000000, "cold_from": 0.31, "fall_multiple": 2.5, "overload_for_us": 1500000,
         "stop_sending_within_us": 4000000, "warm_within_us": int(WARM_WITHIN * 1e6),
     }
-    proxies = [Proxy(number, HALLS[number // 2], 20.0) for number in range(4)]
-    config = settings(CLASSES, HALLS, ["full-box", "small-box"], SLICES, 4, family, rules)
+    proxies = [Proxy(number, HALLS[2 * number // proxy_count], 80.0 / proxy_count) for number in range(proxy_count)]
+    config = settings(CLASSES, HALLS, ["full-box", "small-box"], SLICES, proxy_count, family, rules)
     return Bench(folder, config, hosts, proxies, CLASSES, SLICES, HALLS)
 
 
@@ -67,7 +67,7 @@
                         f"proxy {proxy.number} has had no line to pick for slice {table} for {now - since:.1f} s "
                         f"(limit {EMPTY_FOR} s); its table {proxy.tables.get(table)}, withdrawn there "
                         f"{sorted(proxy.withdrawn)}, listed ready and warm {warm}; "
-                        f"{len(empty_since)} of {4 * SLICES} pairs of proxy and slice have no line"
+                        f"{len(empty_since)} of {len(bench.proxies) * SLICES} pairs of proxy and slice have no line"
                     )
         await asyncio.sleep(0.05)
 
