--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -8,6 +8,7 @@
 Nothing here knows the code under review.
 """
 import asyncio
+import ctypes
 import json
 import logging
 import os
@@ -20,7 +21,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 # A connection that the other side has closed is no news here.
 logging.getLogger("asyncio").setLevel(logging.CRITICAL)
@@ -37,6 +37,21 @@
     """The case could not run."""
 
 
+def run_command():
+    """The `run` line of the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "balancer.toml")) as file:
+        for line in file:
+            key, _, value = line.partition("=")
+            if key.strip() == "run":
+                return json.loads(value.strip())
+    raise CannotRun("the deploy file has no run line")
+
+
+def die_with_parent():
+    """In the child, before it runs: the kernel ends it if this process is killed."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 def unix_ms():
     return time.time() * 1000.0
 
@@ -374,7 +389,8 @@
             lines = self.head + len(taken)
             self.channel_free_at = max(self.channel_free_at, now) + lines / self.lines_per_s
             late = random.uniform(self.late_ms[0], self.late_ms[1]) / 1000.0
-            arrival = max(self.channel_free_at + late, proxy.last_arrival)
+            # In order: never at the same moment as the message before it.
+            arrival = max(self.channel_free_at + late, proxy.last_arrival + 0.0005)
             proxy.last_arrival = arrival
             self.messages.append((now, proxy.number))
             self.bench.on_message(proxy, self.channel_free_at)
@@ -500,8 +516,7 @@
         path = os.path.join(self.temp, "config.json")
         with open(path, "w") as file:
             json.dump(self.config(), file)
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            command = tomllib.load(file)["run"]
+        command = run_command()
         listen = "%s:%d" % self.listen
         environment = dict(
             os.environ, NODE_NAME="n0", NODE_LISTEN=listen, NODE_CONFIG=path,
@@ -509,7 +524,8 @@
         )
         self.log = open(os.path.join(self.temp, "steward.log"), "ab")
         self.steward = subprocess.Popen(
-            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
+            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=self.log, stderr=self.log,
+            preexec_fn=die_with_parent,
         )
         deadline = time.monotonic() + 30
         while time.monotonic() < deadline:
@@ -699,9 +715,13 @@
 def main(case, folder, limit):
     """Runs a case: exit 1 if a rule was broken, 0 if it held, 2 if the case could not run."""
     sys.stdout.reconfigure(line_buffering=True)
+    random.seed(int(os.environ.get("SEED", "1")))
     bench_box = []
 
     async def run():
+        task = asyncio.current_task()
+        for end in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(end, task.cancel)
         try:
             await asyncio.wait_for(case(bench_box), limit)
         finally:
@@ -715,7 +735,7 @@
             bench_box[0].record("VERDICT", f"broken: {broken}")
         print(f"broken: {broken}")
         return 1
-    except Exception as error:  # noqa: BLE001 - whatever else happened, the case did not run
+    except (Exception, asyncio.CancelledError) as error:  # whatever else happened, the case did not run
         if bench_box:
             bench_box[0].record("VERDICT", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
