--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 
 async def trouble(bench):
     await asyncio.sleep(6)
-    first = asyncio.create_task(lose_hall(bench, HALLS[1], seconds=14, notice=2))
+    first = asyncio.create_task(lose_hall(bench, HALLS[1], seconds=14, notice=5))
     await asyncio.sleep(7)
     if KILL:
         bench.record("TROUBLE", "the steward is killed, and started again after 1 s")
@@ -25,7 +25,7 @@
     await first
     # The hosts of the first hall are back and warm up (16 s at the most).
     await asyncio.sleep(20)
-    await lose_hall(bench, HALLS[0], seconds=14, notice=2)
+    await lose_hall(bench, HALLS[0], seconds=14, notice=5)
     await asyncio.sleep(6)
 
 
--- a/review/standins/ishikari.py
+++ b/review/standins/ishikari.py
@@ -73,11 +73,11 @@
 
 
 async def lose_hall(bench, hall, seconds, notice):
-    """A data hall is lost with all its hosts, which come back cold; the list learns of both late."""
+    """A data hall is lost with all its hosts, which vanish and come back cold; the list learns of both late."""
     lost = [host for host in bench.host_list if host.zone == hall]
     bench.record("TROUBLE", f"all hosts of {hall} are lost for {seconds} s")
     for host in lost:
-        host.die()
+        await host.vanish()
     await asyncio.sleep(notice)
     for host in lost:
         bench.discovery.change(host.entry("gone"))
--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -81,6 +81,7 @@
         self.draining = False
         self.recent = []  # (time, seconds of work)
         self.connections = set()
+        self.silent = []  # sockets that hold the address while the machine is gone
 
     @property
     def up(self):
@@ -88,6 +89,9 @@
 
     async def start(self, first=False):
         ip, port = self.address
+        for held in self.silent:
+            held.close()
+        self.silent = []
         for _ in range(50):
             try:
                 self.server = await asyncio.start_server(self.serve, ip, port, reuse_address=True)
@@ -111,6 +115,24 @@
                 writer.transport.abort()
             self.bench.record("host", f"{self.name} dies")
 
+    async def vanish(self):
+        """The machine is gone: open connections stay silent, new ones never come up. A listening socket whose queue is
+        full does the same on loopback: the kernel drops further attempts."""
+        self.server.close()
+        self.server = None
+        await asyncio.sleep(0)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.address)
+        listener.listen(0)
+        self.silent = [listener]
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.silent.append(filler)
+        self.bench.record("host", f"{self.name} vanishes")
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -650,6 +672,8 @@
             heard[0] += 1
             heard[1] += 1
             tried = host.name
+            if host.silent:
+                await asyncio.sleep(0.25)  # the proxy's connect time-out
             lines = proxy.lines(table)
         heat[1] += 1
         self.outcomes["failed"] += 1
@@ -662,6 +686,8 @@
             self.steward.wait()
         for host in self.host_list:
             host.die()
+            for held in host.silent:
+                held.close()
         log = os.path.join(self.temp, "steward.log")
         if os.path.exists(log):
             with open(log, errors="replace") as file:
