Log exclusions, readmissions and how many are repeated

Cause: decisions about exclusions were not reported. From the log alone it could not be told whether a readmission was never decided, waited for the message quota or the backlog, or was decided and did not reach the proxies.

Change: three decision events: host excluded, host readmitted, and exclusions repeated with their number. A change counts as repeated if the published state was unconfirmed.

--- a/crates/railhub-adapter/src/commands.rs
+++ b/crates/railhub-adapter/src/commands.rs
@@ -64,6 +64,9 @@
         DecisionEvent::OutlierEjected(host) => format!("host {host} is the outlier: withdrawn"),
         DecisionEvent::EjectionEnded(host) => format!("withdrawal of {host} ends"),
         DecisionEvent::SlicesFailedOver(count) => format!("{count} slices handed over"),
+        DecisionEvent::HostExcluded(host) => format!("host {host} excluded"),
+        DecisionEvent::HostReadmitted(host) => format!("host {host} readmitted"),
+        DecisionEvent::ExclusionsRepeated(count) => format!("exclusions of {count} hosts repeated"),
     }
 }
 
--- a/crates/railhub-adapter/src/commands/tests.rs
+++ b/crates/railhub-adapter/src/commands/tests.rs
@@ -18,6 +18,9 @@
         DecisionEvent::OutlierEjected(host),
         DecisionEvent::EjectionEnded(host),
         DecisionEvent::SlicesFailedOver(2),
+        DecisionEvent::HostExcluded(host),
+        DecisionEvent::HostReadmitted(host),
+        DecisionEvent::ExclusionsRepeated(3),
     ] {
         writer.report(event);
     }
@@ -35,6 +38,9 @@
         "TRACE words=host 10.0.0.1:80 is the outlier: withdrawn",
         "TRACE words=withdrawal of 10.0.0.1:80 ends",
         "TRACE words=2 slices handed over",
+        "TRACE words=host 10.0.0.1:80 excluded",
+        "TRACE words=host 10.0.0.1:80 readmitted",
+        "TRACE words=exclusions of 3 hosts repeated",
     ];
     assert_eq!(writer.lines.lines().collect::<Vec<_>>(), lines);
 }
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -28,6 +28,8 @@
 pub struct ExclusionChange {
     pub host: HostId,
     pub is_excluded: bool,
+    /// The published state was unconfirmed: some proxies may have the change already.
+    pub is_repeated: bool,
 }
 
 /// The exclusions as published to the proxies.
@@ -88,8 +90,10 @@
         for host in candidates {
             let is_excluded = must_exclude(&host);
             let desired = if is_excluded { ExclusionState::Excluded } else { ExclusionState::Admitted };
-            if self.published.get(&host) != Some(&desired) {
-                changes.push(ExclusionChange { host, is_excluded });
+            let published = self.published.get(&host).copied();
+            if published != Some(desired) {
+                let is_repeated = published == Some(ExclusionState::Unconfirmed);
+                changes.push(ExclusionChange { host, is_excluded, is_repeated });
             }
         }
         changes
--- a/src/decision/publish.rs
+++ b/src/decision/publish.rs
@@ -21,7 +21,7 @@
 use super::single_owner;
 use super::slice::Slices;
 use super::table::{changes, desired_table, urgency, Urgency};
-use crate::interface::{BarrierId, ClassId, CommandSink, ControllerConfig, HostId, ProxyId};
+use crate::interface::{BarrierId, ClassId, CommandSink, ControllerConfig, DecisionEvent, HostId, ProxyId};
 use crate::interface::{RetryPolicy, Seconds, SliceId, WeightedHost};
 use crate::update_backlog::{Update, UpdateBacklog};
 use std::collections::{BTreeMap, BTreeSet};
@@ -240,6 +240,7 @@
     draft: &mut UpdateDraft,
     commands: &mut impl CommandSink,
 ) {
+    let mut repeated = 0;
     for change in due {
         if !draft.try_add(1.0, MAX_BACKLOG_FRACTION) {
             continue;
@@ -248,8 +249,16 @@
             true => commands.exclude_host(change.host),
             false => commands.readmit_host(change.host),
         }
+        match (change.is_repeated, change.is_excluded) {
+            (true, _) => repeated += 1,
+            (false, true) => commands.report(DecisionEvent::HostExcluded(change.host)),
+            (false, false) => commands.report(DecisionEvent::HostReadmitted(change.host)),
+        }
         state.exclusions.apply(change);
     }
+    if repeated > 0 {
+        commands.report(DecisionEvent::ExclusionsRepeated(repeated));
+    }
 }
 
 /// Writes tables until one does not fit.
--- a/src/interface/commands.rs
+++ b/src/interface/commands.rs
@@ -51,6 +51,12 @@
     EjectionEnded(HostId),
     /// This many slices moved off hosts that must be left.
     SlicesFailedOver(usize),
+    /// Proxies are told to send nothing to a host that they could send to before.
+    HostExcluded(HostId),
+    /// Proxies are told that they may send to an excluded host again.
+    HostReadmitted(HostId),
+    /// The exclusions and readmissions of this many hosts are published again: proxies may have missed them.
+    ExclusionsRepeated(usize),
 }
 
 impl fmt::Display for DecisionEvent {
@@ -65,6 +71,11 @@
             DecisionEvent::OutlierEjected(host) => write!(formatter, "outlier ejected host={host}"),
             DecisionEvent::EjectionEnded(host) => write!(formatter, "outlier ejection ended host={host}"),
             DecisionEvent::SlicesFailedOver(count) => write!(formatter, "slices failed over count={count}"),
+            DecisionEvent::HostExcluded(host) => write!(formatter, "host excluded host={host}"),
+            DecisionEvent::HostReadmitted(host) => write!(formatter, "host readmitted host={host}"),
+            DecisionEvent::ExclusionsRepeated(count) => {
+                write!(formatter, "exclusions repeated count={count}")
+            }
         }
     }
 }
