Readmit hosts that were off the list when their controller restarted

Cause: a proxy keeps its exclusions when its controller is killed. `Exclusions::on_controller_restarted` marked the hosts that were listed at that moment as unconfirmed; a host without an entry counted as never excluded, so one that was listed later was never readmitted.

Change: what holds for hosts without an entry is a state of its own: admitted, or unconfirmed after a restart. Exclusions precede readmissions in an update, so that more readmissions do not delay them.

--- a/crates/railhub-cli/tests/common/scripted.rs
+++ b/crates/railhub-cli/tests/common/scripted.rs
@@ -72,10 +72,16 @@
     format!("{{\"jsonrpc\":\"2.0\",\"method\":\"{method}\",\"params\":{params}}}\n")
 }
 
+/// A proxy joins that holds nothing.
 pub fn proxy_joined(proxy: u16) -> String {
     notification("joined", &format!(r#"{{"proxy":{proxy},"zone":"a","weight":2,"fresh":true}}"#))
 }
 
+/// A proxy joins that keeps what it received on an earlier stream.
+pub fn proxy_rejoined(proxy: u16) -> String {
+    notification("joined", &format!(r#"{{"proxy":{proxy},"zone":"a","weight":2,"fresh":false}}"#))
+}
+
 /// Assigns a slice to the controller, with a table of one entry.
 pub fn slice_with_owner(slice: u16, host: &str) -> String {
     notification("given", &format!(r#"{{"slice":{slice},"on":true}}"#))
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -7,17 +7,21 @@
 //! owner.
 //!
 //! A proxy that connects may have missed lines, so every published state becomes unconfirmed and is published again.
+//!
+//! After a restart of the controller, proxies may exclude any host on the order of the earlier process, also one that is
+//! not listed at that time. So each host counts as unconfirmed until this process has published its state.
 use super::host::Host;
 use super::slice::Slices;
 use crate::interface::{HostId, Seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The state of a host as published to the proxies. Only hosts that were excluded at some time have one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The state of a host as published to the proxies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ExclusionState {
     /// Proxies must not send to the host.
     Excluded,
     /// Proxies may send to the host.
+    #[default]
     Admitted,
     /// Some proxies may not have received the last published state.
     Unconfirmed,
@@ -36,6 +40,8 @@
 #[derive(Default)]
 pub struct Exclusions {
     published: BTreeMap<HostId, ExclusionState>,
+    /// The state of every host that `published` does not contain: admitted, or unconfirmed after a restart.
+    others: ExclusionState,
 }
 
 impl Exclusions {
@@ -44,10 +50,11 @@
         self.published.values_mut().for_each(|state| *state = ExclusionState::Unconfirmed);
     }
 
-    /// Marks all known hosts as unconfirmed: after its restart the controller does not know which hosts it had
+    /// Marks all hosts as unconfirmed, listed or not: after its restart the controller does not know which hosts it had
     /// excluded.
-    pub fn on_controller_restarted(&mut self, hosts: impl Iterator<Item = HostId>) {
-        self.published.extend(hosts.map(|host| (host, ExclusionState::Unconfirmed)));
+    pub fn on_controller_restarted(&mut self) {
+        self.published.clear();
+        self.others = ExclusionState::Unconfirmed;
     }
 
     /// Records a change that is published now.
@@ -65,7 +72,7 @@
         is_admitted
     }
 
-    /// Returns the changes that have to be published, ordered by host.
+    /// Returns the changes that have to be published: the exclusions first, each kind ordered by host.
     pub fn due_changes(
         &self,
         now: Seconds,
@@ -83,22 +90,26 @@
                 host.is_none_or(|host| host.is_expired(now)) && !published_hosts.contains(id);
             !single_owner && !is_usable && !owners.contains(id) && !may_be_forgotten
         };
-        let mut candidates: BTreeSet<HostId> =
-            published_hosts.iter().copied().filter(&must_exclude).collect();
-        candidates.extend(self.published.keys().copied().filter(|host| !must_exclude(host)));
+        let is_current = |id: &&HostId| hosts.get(id).is_some_and(|host| !host.is_expired(now));
+        let known_hosts = self.published.keys().chain(hosts.keys().filter(is_current));
+        let excluded = published_hosts.iter().filter(|id| must_exclude(id));
+        let readmitted: BTreeSet<HostId> = known_hosts.copied().filter(|id| !must_exclude(id)).collect();
         let mut changes = Vec::new();
-        for host in candidates {
-            let is_excluded = must_exclude(&host);
-            let desired = if is_excluded { ExclusionState::Excluded } else { ExclusionState::Admitted };
-            let published = self.published.get(&host).copied();
-            if published != Some(desired) {
-                let is_repeated = published == Some(ExclusionState::Unconfirmed);
-                changes.push(ExclusionChange { host, is_excluded, is_repeated });
-            }
-        }
+        changes.extend(excluded.filter_map(|id| self.change_to(*id, ExclusionState::Excluded)));
+        changes.extend(readmitted.iter().filter_map(|id| self.change_to(*id, ExclusionState::Admitted)));
         changes
     }
 
+    /// The change to the desired state of a host; `None` if that is already published.
+    fn change_to(&self, host: HostId, desired: ExclusionState) -> Option<ExclusionChange> {
+        let published = self.published.get(&host).copied().unwrap_or(self.others);
+        (published != desired).then(|| ExclusionChange {
+            host,
+            is_excluded: desired == ExclusionState::Excluded,
+            is_repeated: published == ExclusionState::Unconfirmed,
+        })
+    }
+
     /// The published states, for tests to change.
     #[cfg(test)]
     pub fn published(&mut self) -> &mut BTreeMap<HostId, ExclusionState> {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -284,7 +284,7 @@
         }
         // The first proxy to connect had a stream before, so this controller has likely restarted.
         if matches!(event, ProxyStreamEvent::Reconnected(_)) && self.proxies.is_empty() {
-            self.exclusions.on_controller_restarted(self.hosts.keys().copied());
+            self.exclusions.on_controller_restarted();
         }
         self.exclusions.on_proxy_connected();
         let was_connected = !self.proxies.insert(proxy);
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -46,3 +46,47 @@
     controller.exclusions.published().insert(host(2), ExclusionState::Unconfirmed);
     assert!(due_exclusions(&controller, 110.0).is_empty());
 }
+
+/// The events that a proxy connected before the restart of its controller, with the hosts that are listed then.
+fn restarted_controller(listed: std::ops::RangeInclusive<u8>, streams: Vec<ProxyStreamEvent>) -> Controller {
+    let mut restarted = Controller::new(config());
+    let entries = listed.clone().map(|n| entry(n, Phase::Ready, None)).collect();
+    let first_host = *listed.start();
+    let assigned = |slice| SliceAssignment::Assigned {
+        slice: SliceId(slice),
+        entries: vec![(host(first_host), 1.0).into()],
+    };
+    let assignments = (0..12).map(assigned).collect();
+    let batch = EventBatch { assignments, ..endpoint_update(100.0, entries) };
+    restarted.handle_batch(&batch, &mut RecordedCommands::default());
+    let batch = EventBatch { proxy_streams: streams, ..tick(101.0) };
+    restarted.handle_batch(&batch, &mut RecordedCommands::default());
+    restarted
+}
+
+/// Lists a host that was not listed before and lets it pass its health check; returns the commands until a tick later.
+fn list_host(controller: &mut Controller, now: Seconds, n: u8) -> RecordedCommands {
+    let mut commands = RecordedCommands::default();
+    controller.handle_batch(&endpoint_update(now, vec![entry(n, Phase::Ready, None)]), &mut commands);
+    controller.handle_batch(&health_checked(now + 0.1, n, HealthCheckOutcome::Passed), &mut commands);
+    controller.handle_batch(&tick(now + 1.0), &mut commands);
+    commands
+}
+
+/// Guards against review/1: a host that is off the list when its controller restarts stayed excluded at the proxies.
+#[test]
+fn host_listed_after_restart_is_readmitted() {
+    let reconnected = (0..2).map(|k| ProxyStreamEvent::Reconnected(ProxyId(k))).collect();
+    let mut controller = restarted_controller(1..=3, reconnected);
+    let commands = list_host(&mut controller, 130.0, 4);
+    assert_eq!(commands.exclusions, [(host(4), false)]);
+    controller.handle_batch(&tick(132.0), &mut RecordedCommands::default());
+    assert!(due_exclusions(&controller, 132.0).is_empty(), "a readmission is published once");
+}
+
+#[test]
+fn host_listed_without_restart_needs_no_readmission() {
+    let connected = (0..2).map(|k| ProxyStreamEvent::Connected(ProxyId(k))).collect();
+    let mut controller = restarted_controller(1..=3, connected);
+    assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, []);
+}
