Notice a restart by each returning proxy, not only by the first one

Cause: `Controller::apply_proxy_stream` took a returning proxy for the sign of a restart only while no other proxy was connected. A fresh proxy in front hid the restart, and the exclusions of the earlier process stayed.

Change: what a proxy may exclude depends on that proxy: it is new and excludes nothing, it returns to this process, or it is unknown to it. `Exclusions` keeps the proxies that it knows; an unknown one makes every host unconfirmed. A new proxy makes the exclusions unconfirmed, no longer the readmissions.

Evidence: `restart_is_noticed_though_a_new_proxy_connects_first`, `new_proxy_needs_no_readmissions` and, with processes, `a_restart_is_noticed_though_a_fresh_proxy_joins_first` fail on the code before and pass now. All tests of the workspace pass.

--- a/crates/railhub-cli/tests/restarts.rs
+++ b/crates/railhub-cli/tests/restarts.rs
@@ -6,8 +6,8 @@
 
 use common::{eventually, Controller};
 use scripted::{
-    chunk, file_with_hosts, host_list, instance, page, proxy_rejoined, slice_with_owner, snapshot,
-    start_controller, ScriptedDiscovery, ScriptedRelay, Watch, PING, SUBSCRIBED, WATCH_HEAD,
+    chunk, file_with_hosts, host_list, instance, page, proxy_joined, proxy_rejoined, slice_with_owner,
+    snapshot, start_controller, ScriptedDiscovery, ScriptedRelay, Watch, PING, SUBSCRIBED, WATCH_HEAD,
 };
 use serde_json::Value;
 
@@ -65,3 +65,15 @@
     eventually("the host that is back is readmitted", || peers.relay.has_call_with(&readmission("s-1")));
     assert!(controller.log_contains("exclusions repeated"));
 }
+
+/// Guards against review/3: a restart stayed unnoticed if a fresh proxy joined the new process first, so that the
+/// proxies that kept running went on excluding listed hosts.
+#[test]
+fn a_restart_is_noticed_though_a_fresh_proxy_joins_first() {
+    let peers = Peers::open();
+    peers.kill_after_exclusion("before-fresh-proxy");
+    let proxies = proxy_joined(0) + &proxy_rejoined(1);
+    let snapshot = SUBSCRIBED.to_owned() + &proxies + &slice_with_owner(3, "s-2") + PING;
+    let (_controller, _watch) = peers.start("after-fresh-proxy", &host_list(3), &snapshot);
+    eventually("the excluded host is readmitted", || peers.relay.has_call_with(&readmission("s-1")));
+}
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -6,13 +6,15 @@
 //! has been gone for long enough to be forgotten and no table names it. Hosts are not excluded if slices have a single
 //! owner.
 //!
-//! A proxy that connects may have missed lines, so every published state becomes unconfirmed and is published again.
-//!
-//! After a restart of the controller, proxies may exclude any host on the order of the earlier process, also one that is
-//! not listed at that time. So each host counts as unconfirmed until this process has published its state.
+//! A proxy excludes hosts until it is told otherwise, also while it is disconnected and after its controller has
+//! restarted. So what a proxy that connects may exclude depends on its past:
+//! - *new*: it excludes nothing, and lacks the exclusions published so far;
+//! - *returning*: it may have missed lines, so every published state is unconfirmed and is published again;
+//! - *unknown*: it returns, but not to this process. It may exclude any host on the order of an earlier one, also a host
+//!   that is not listed, so each host is unconfirmed until this process has published its state.
 use super::host::Host;
 use super::slice::Slices;
-use crate::interface::{HostId, Seconds};
+use crate::interface::{HostId, ProxyId, Seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The state of a host as published to the proxies.
@@ -40,21 +42,29 @@
 #[derive(Default)]
 pub struct Exclusions {
     published: BTreeMap<HostId, ExclusionState>,
-    /// The state of every host that `published` does not contain: admitted, or unconfirmed after a restart.
+    /// The state of every host that `published` does not contain: admitted, or unconfirmed once an unknown proxy has
+    /// connected.
     others: ExclusionState,
+    /// Proxies that exclude hosts only on the order of this process.
+    known_proxies: BTreeSet<ProxyId>,
 }
 
 impl Exclusions {
-    /// Marks all states as unconfirmed: the proxy that connected may have missed them.
-    pub fn on_proxy_connected(&mut self) {
-        self.published.values_mut().for_each(|state| *state = ExclusionState::Unconfirmed);
+    /// A proxy connected that holds nothing: the published exclusions are unconfirmed, as it lacks them.
+    pub fn on_new_proxy(&mut self, proxy: ProxyId) {
+        self.known_proxies.insert(proxy);
+        for state in self.published.values_mut().filter(|state| **state == ExclusionState::Excluded) {
+            *state = ExclusionState::Unconfirmed;
+        }
     }
 
-    /// Marks all hosts as unconfirmed, listed or not: after its restart the controller does not know which hosts it had
-    /// excluded.
-    pub fn on_controller_restarted(&mut self) {
-        self.published.clear();
-        self.others = ExclusionState::Unconfirmed;
+    /// A proxy connected that holds what it received before, and may have missed changes since: all published states are
+    /// unconfirmed, and those of all hosts if the proxy is unknown.
+    pub fn on_returning_proxy(&mut self, proxy: ProxyId) {
+        self.published.values_mut().for_each(|state| *state = ExclusionState::Unconfirmed);
+        if !self.known_proxies.contains(&proxy) {
+            self.others = ExclusionState::Unconfirmed;
+        }
     }
 
     /// Records a change that is published now.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -282,12 +282,12 @@
             self.publisher.backlog.remove_proxy(proxy);
             return;
         }
-        // The first proxy to connect had a stream before, so this controller has likely restarted.
-        if matches!(event, ProxyStreamEvent::Reconnected(_)) && self.proxies.is_empty() {
-            self.exclusions.on_controller_restarted();
-        }
-        self.exclusions.on_proxy_connected();
         let was_connected = !self.proxies.insert(proxy);
+        match event {
+            ProxyStreamEvent::Connected(_) if !was_connected => self.exclusions.on_new_proxy(proxy),
+            // A stream that is reported again may have ended and been established again unnoticed.
+            _ => self.exclusions.on_returning_proxy(proxy),
+        }
         self.publisher.on_connected(proxy, was_connected, oldest_pending_at);
     }
 
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -51,12 +51,12 @@
 fn restarted_controller(listed: std::ops::RangeInclusive<u8>, streams: Vec<ProxyStreamEvent>) -> Controller {
     let mut restarted = Controller::new(config());
     let entries = listed.clone().map(|n| entry(n, Phase::Ready, None)).collect();
-    let first_host = *listed.start();
-    let assigned = |slice| SliceAssignment::Assigned {
+    let mut owners = listed.cycle().map(host);
+    let mut assigned = |slice| SliceAssignment::Assigned {
         slice: SliceId(slice),
-        entries: vec![(host(first_host), 1.0).into()],
+        entries: vec![(owners.next().expect("hosts are listed"), 1.0).into()],
     };
-    let assignments = (0..12).map(assigned).collect();
+    let assignments = (0..12).map(&mut assigned).collect();
     let batch = EventBatch { assignments, ..endpoint_update(100.0, entries) };
     restarted.handle_batch(&batch, &mut RecordedCommands::default());
     let batch = EventBatch { proxy_streams: streams, ..tick(101.0) };
@@ -90,3 +90,29 @@
     let mut controller = restarted_controller(1..=3, connected);
     assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, []);
 }
+
+/// Guards against review/3: a restart stayed unnoticed if the first proxy that connected was a new one, so the other
+/// proxies kept the exclusions of the earlier process.
+#[test]
+fn restart_is_noticed_though_a_new_proxy_connects_first() {
+    let (new, returning) =
+        (ProxyStreamEvent::Connected(ProxyId(0)), ProxyStreamEvent::Reconnected(ProxyId(1)));
+    for streams in [vec![new, returning], vec![returning, new]] {
+        let mut controller = restarted_controller(1..=3, Vec::new());
+        let mut commands = RecordedCommands::default();
+        controller.handle_batch(&EventBatch { proxy_streams: streams, ..tick(102.0) }, &mut commands);
+        assert_eq!(commands.exclusions, [1, 2, 3].map(|n| (host(n), false)));
+        assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, [(host(4), false)]);
+    }
+}
+
+#[test]
+fn new_proxy_needs_no_readmissions() {
+    let connected = (0..2).map(|k| ProxyStreamEvent::Connected(ProxyId(k))).collect();
+    let mut controller = restarted_controller(1..=3, connected);
+    controller.exclusions.apply(ExclusionChange { host: host(1), is_excluded: false, is_repeated: false });
+    let mut commands = RecordedCommands::default();
+    let connected = vec![ProxyStreamEvent::Connected(ProxyId(2))];
+    controller.handle_batch(&EventBatch { proxy_streams: connected, ..tick(102.0) }, &mut commands);
+    assert_eq!(commands.exclusions, []);
+}
