Readmit a host that was forgotten while a proxy's stream was down

A host is excluded and gone, a proxy's stream breaks, the host is readmitted after 20 s and forgotten, the proxy returns. When the host is listed again, that proxy sends it nothing, without end.

Cause: `Exclusions::forget` dropped the state of a host in the tick in which its readmission was published. A returning proxy makes the recorded states unconfirmed; the forgotten host had none.

Change: a forgotten host is kept aside until all connected proxies have acknowledged its readmission. A proxy that returns before that, or was away at that time, counts as unknown, so every host is unconfirmed. Nothing more is sent while all proxies acknowledge.

Evidence: `host_forgotten_while_a_stream_is_down_is_readmitted_when_it_is_listed_again` fails on the code before (no readmission) and passes now; `host_forgotten_while_all_proxies_are_connected_needs_no_readmission` guards the cost.

--- a/src/decision/endpoint_list.rs
+++ b/src/decision/endpoint_list.rs
@@ -63,13 +63,13 @@
     ejected: Option<HostId>,
     hosts: &mut BTreeMap<HostId, Host>,
     slices: &mut BTreeMap<SliceId, Slice>,
-    exclusions: &mut Exclusions,
+    exclusions: &Exclusions,
 ) {
     let expired: Vec<HostId> =
         hosts.iter().filter(|(_, host)| host.is_expired(now)).map(|(id, _)| *id).collect();
     for id in expired {
         let is_in_use = slices.values().any(|slice| slice.owner == Some(id) || slice.table_contains(id));
-        if is_in_use || ejected == Some(id) || !exclusions.forget(id) {
+        if is_in_use || ejected == Some(id) || !exclusions.may_forget(id) {
             continue;
         }
         hosts.remove(&id);
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -10,8 +10,8 @@
 //! restarted. So what a proxy that connects may exclude depends on its past:
 //! - *new*: it excludes nothing, and lacks the exclusions published so far;
 //! - *returning*: it may have missed lines, so every published state is unconfirmed and is published again;
-//! - *unknown*: it returns, but not to this process. It may exclude any host on the order of an earlier one, also a host
-//!   that is not listed, so each host is unconfirmed until this process has published its state.
+//! - *unknown*: it returns, but not to this process, or it was away while this process forgot a host. It may exclude any
+//!   host, listed or not, so each host is unconfirmed until this process has published its state.
 use super::host::Host;
 use super::slice::Slices;
 use crate::interface::{HostId, ProxyId, Seconds};
@@ -45,8 +45,11 @@
     /// The state of every host that `published` does not contain: admitted, or unconfirmed once an unknown proxy has
     /// connected.
     others: ExclusionState,
-    /// Proxies that exclude hosts only on the order of this process.
+    /// Proxies that exclude no hosts but those of `published` and `forgotten`.
     known_proxies: BTreeSet<ProxyId>,
+    /// Hosts that were readmitted and are not listed any more, and when they were forgotten. They are removed from here
+    /// once all connected proxies have acknowledged the readmission.
+    forgotten: BTreeMap<HostId, Seconds>,
 }
 
 impl Exclusions {
@@ -59,11 +62,13 @@
     }
 
     /// A proxy connected that holds what it received before, and may have missed changes since: all published states are
-    /// unconfirmed, and those of all hosts if the proxy is unknown.
+    /// unconfirmed, and those of all hosts if the proxy is unknown or may have missed the readmission of a host that is
+    /// forgotten.
     pub fn on_returning_proxy(&mut self, proxy: ProxyId) {
         self.published.values_mut().for_each(|state| *state = ExclusionState::Unconfirmed);
-        if !self.known_proxies.contains(&proxy) {
+        if !self.known_proxies.contains(&proxy) || !self.forgotten.is_empty() {
             self.others = ExclusionState::Unconfirmed;
+            self.forgotten.clear();
         }
     }
 
@@ -73,13 +78,35 @@
         self.published.insert(change.host, state);
     }
 
-    /// Removes the state of a host, unless proxies may still exclude the host. Returns whether none does.
-    pub fn forget(&mut self, host: HostId) -> bool {
-        let is_admitted = self.published.get(&host).is_none_or(|state| *state == ExclusionState::Admitted);
-        if is_admitted {
-            self.published.remove(&host);
+    /// Whether a host may be forgotten: no proxy needs to be told that it is readmitted.
+    pub fn may_forget(&self, host: HostId) -> bool {
+        self.published.get(&host).is_none_or(|state| *state == ExclusionState::Admitted)
+    }
+
+    /// Removes the states of readmitted hosts that are not known any more.
+    pub fn forget_unknown_hosts(&mut self, now: Seconds, hosts: &BTreeMap<HostId, Host>) {
+        let is_obsolete = |host: &HostId, state: &mut ExclusionState| {
+            *state == ExclusionState::Admitted && !hosts.contains_key(host)
+        };
+        let obsolete = self.published.extract_if(.., is_obsolete);
+        self.forgotten.extend(obsolete.map(|(host, _)| (host, now)));
+        if self.others == ExclusionState::Unconfirmed {
+            self.forgotten.clear();
+        }
+    }
+
+    /// Removes the forgotten hosts whose readmission all connected proxies have acknowledged. Other proxies may have
+    /// missed it and are unknown from now on. `unacknowledged_since`: when the oldest update was sent that a connected
+    /// proxy has not acknowledged.
+    pub fn apply_acknowledged(
+        &mut self,
+        unacknowledged_since: Option<Seconds>,
+        connected: &BTreeSet<ProxyId>,
+    ) {
+        let is_acknowledged = |at: Seconds| unacknowledged_since.is_none_or(|since| since > at);
+        if self.forgotten.extract_if(.., |_, at| is_acknowledged(*at)).count() > 0 {
+            self.known_proxies.retain(|proxy| connected.contains(proxy));
         }
-        is_admitted
     }
 
     /// Returns the changes that have to be published: the exclusions first, each kind ordered by host.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -235,7 +235,8 @@
             }
         }
         let (hosts, slices) = (&mut self.hosts, &mut self.slices);
-        forget_gone_hosts(now, self.ejected_outlier, hosts, slices, &mut self.exclusions);
+        forget_gone_hosts(now, self.ejected_outlier, hosts, slices, &self.exclusions);
+        self.exclusions.forget_unknown_hosts(now, &self.hosts);
         commands.set_timer(TICK_INTERVAL, TICK_TIMER);
     }
 
@@ -301,5 +302,6 @@
         let updates = self.publisher.backlog.take_acknowledged();
         let last_disconnect_at = self.last_disconnect_at;
         single_owner::apply_acknowledged(now, &updates, last_disconnect_at, &self.config, &mut self.slices);
+        self.exclusions.apply_acknowledged(self.publisher.backlog.oldest_sent_at(), &self.proxies);
     }
 }
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -116,3 +116,56 @@
     controller.handle_batch(&EventBatch { proxy_streams: connected, ..tick(102.0) }, &mut commands);
     assert_eq!(commands.exclusions, []);
 }
+
+/// Lets both proxies acknowledge all updates.
+fn acknowledge_all(controller: &mut Controller, now: Seconds) {
+    let Some(last) = controller.publisher.backlog.updates().last() else { return };
+    let barrier = last.barrier;
+    (0..2).for_each(|k| controller.apply_barrier_ack(now, &BarrierAck { proxy: ProxyId(k), barrier }));
+}
+
+/// Guards against the third way of review/REPORT.md: a proxy whose stream was down while a host was readmitted and
+/// forgotten excluded the host when it was listed again.
+#[test]
+fn host_forgotten_while_a_stream_is_down_is_readmitted_when_it_is_listed_again() {
+    for acknowledges in [true, false] {
+        let mut controller = controller(ControllerConfig { delisted_may_serve: false, ..config() });
+        let mut commands = RecordedCommands::default();
+        let gone = endpoint_update(101.0, vec![entry(4, Phase::Gone, None)]);
+        controller.handle_batch(&gone, &mut commands);
+        assert_eq!(commands.exclusions, [(host(4), true)]);
+        let disconnected = vec![ProxyStreamEvent::Disconnected(ProxyId(1))];
+        controller.handle_batch(&EventBatch { proxy_streams: disconnected, ..tick(102.0) }, &mut commands);
+        for second in 103..=125 {
+            controller.handle_batch(&tick(f64::from(second)), &mut commands);
+            if acknowledges {
+                acknowledge_all(&mut controller, f64::from(second) + 0.5);
+            }
+        }
+        assert_eq!(commands.exclusions[1..], [(host(4), false)]);
+        assert!(!controller.hosts.contains_key(&host(4)), "the host is forgotten");
+        let returning = vec![ProxyStreamEvent::Reconnected(ProxyId(1))];
+        controller.handle_batch(
+            &EventBatch { proxy_streams: returning, ..tick(126.0) },
+            &mut RecordedCommands::default(),
+        );
+        assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, [(host(4), false)]);
+    }
+}
+
+#[test]
+fn host_forgotten_while_all_proxies_are_connected_needs_no_readmission() {
+    let mut controller = controller(ControllerConfig { delisted_may_serve: false, ..config() });
+    let gone = endpoint_update(101.0, vec![entry(4, Phase::Gone, None)]);
+    controller.handle_batch(&gone, &mut RecordedCommands::default());
+    for second in 102..=125 {
+        controller.handle_batch(&tick(f64::from(second)), &mut RecordedCommands::default());
+        acknowledge_all(&mut controller, f64::from(second) + 0.5);
+    }
+    assert!(!controller.hosts.contains_key(&host(4)), "the host is forgotten");
+    let returning = vec![ProxyStreamEvent::Reconnected(ProxyId(1))];
+    let mut commands = RecordedCommands::default();
+    controller.handle_batch(&EventBatch { proxy_streams: returning, ..tick(126.0) }, &mut commands);
+    assert_eq!(commands.exclusions, [], "no proxy can exclude a host");
+    assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, []);
+}
--- a/src/update_backlog.rs
+++ b/src/update_backlog.rs
@@ -124,6 +124,11 @@
         lines
     }
 
+    /// When the oldest update was sent that waits for an acknowledgement.
+    pub fn oldest_sent_at(&self) -> Option<Seconds> {
+        self.updates.first().map(|update| update.sent_at)
+    }
+
     /// Whether no update waits for an acknowledgement.
     pub fn is_empty(&self) -> bool {
         self.updates.is_empty()
