Repeat exclusions whose update expires before all proxies acknowledge it

What callers saw: nothing in operation; the model test found it. A channel stalls, a readmission waits in it for more than 20 s and is lost with the stream of a proxy. That proxy excludes the host without end.

Cause: after `UPDATE_EXPIRY` an update no longer counts as waiting. That is right for the backlog, but nothing remembered that a proxy had not acknowledged the exclusions in it.

Change: an update in the backlog knows whether it has exclusions or readmissions. If such an update expires, the published states are unconfirmed and are published again; those of all hosts, if a forgotten host may be among them. `UpdateBacklog::expire` becomes `take_expired`, whose test now also checks what it returns.

Evidence: `readmission_is_repeated_if_its_update_expires_unacknowledged` and `no_proxy_excludes_a_usable_host_once_events_settle` fail on the code before and pass now.

--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -62,11 +62,25 @@
     }
 
     /// A proxy connected that holds what it received before, and may have missed changes since: all published states are
-    /// unconfirmed, and those of all hosts if the proxy is unknown or may have missed the readmission of a host that is
-    /// forgotten.
+    /// unconfirmed, and those of all hosts if the proxy is unknown.
     pub fn on_returning_proxy(&mut self, proxy: ProxyId) {
+        if !self.known_proxies.contains(&proxy) {
+            self.others = ExclusionState::Unconfirmed;
+        }
+        self.mark_unconfirmed();
+    }
+
+    /// A connected proxy has not acknowledged an update with exclusions or readmissions in time: it may not have
+    /// received them.
+    pub fn on_update_expired(&mut self) {
+        self.mark_unconfirmed();
+    }
+
+    /// Marks the published states as unconfirmed: a proxy may have missed any of them. If that includes the readmission
+    /// of a forgotten host, which has no state of its own, the states of all hosts are unconfirmed.
+    fn mark_unconfirmed(&mut self) {
         self.published.values_mut().for_each(|state| *state = ExclusionState::Unconfirmed);
-        if !self.known_proxies.contains(&proxy) || !self.forgotten.is_empty() {
+        if !self.forgotten.is_empty() {
             self.others = ExclusionState::Unconfirmed;
             self.forgotten.clear();
         }
--- a/src/decision/publish.rs
+++ b/src/decision/publish.rs
@@ -91,6 +91,8 @@
     proxies: f64,
     /// Lines that may wait in the channel, summed over the proxies.
     backlog_limit: f64,
+    /// It excludes or readmits hosts.
+    has_exclusions: bool,
 }
 
 impl UpdateDraft {
@@ -140,10 +142,11 @@
         if !self.may_send(state.now, state.is_tick, is_urgent, state.config) {
             return;
         }
+        self.drop_expired_updates(&mut state);
         let mut draft = self.start_update(&state);
         let overhead = draft.lines;
         self.write_admission(&state, &mut draft, commands);
-        write_exclusions(exclusions, &mut state, &mut draft, commands);
+        draft.has_exclusions = write_exclusions(exclusions, &mut state, &mut draft, commands);
         write_tables(tables, &mut state, &mut draft, commands);
         self.finish_update(&state, &draft, draft.lines > overhead, commands);
     }
@@ -157,10 +160,19 @@
         !waits_for_tick && self.sent_at.len() + reserve < quota
     }
 
+    /// Drops updates that some proxy has not acknowledged in time. If they concern exclusions, these are published again
+    /// in a later update.
+    fn drop_expired_updates(&mut self, state: &mut PublishState) {
+        let expired = self.backlog.take_expired(state.now, UPDATE_EXPIRY);
+        if expired.iter().any(|update| update.has_exclusions) {
+            state.exclusions.on_update_expired();
+        }
+    }
+
     /// Starts an update that counts the overhead of its message, its barrier and all admission rates.
     fn start_update(&mut self, state: &PublishState) -> UpdateDraft {
-        self.backlog.expire(state.now, UPDATE_EXPIRY);
         UpdateDraft {
+            has_exclusions: false,
             lines: state.config.message_overhead + 1.0 + state.admission.rates.len() as f64,
             waiting_lines: self.backlog.waiting_lines(state.now, STALLED_UPDATE_TIMEOUT),
             proxies: state.proxies.len().max(1) as f64,
@@ -214,7 +226,7 @@
         commands.set_barrier(barrier);
         self.sent_at.push(state.now);
         let update = Update::new(state.now, barrier, draft.lines, state.proxies.clone());
-        self.backlog.send(Update { cleared_slices, ..update });
+        self.backlog.send(Update { cleared_slices, has_exclusions: draft.has_exclusions, ..update });
     }
 }
 
@@ -234,12 +246,14 @@
     pending
 }
 
+/// Writes the exclusions and readmissions that fit; returns whether there are any.
 fn write_exclusions(
     due: Vec<ExclusionChange>,
     state: &mut PublishState,
     draft: &mut UpdateDraft,
     commands: &mut impl CommandSink,
-) {
+) -> bool {
+    let mut is_any_written = false;
     let mut repeated = 0;
     for change in due {
         if !draft.try_add(1.0, MAX_BACKLOG_FRACTION) {
@@ -255,10 +269,12 @@
             (false, false) => commands.report(DecisionEvent::HostReadmitted(change.host)),
         }
         state.exclusions.apply(change);
+        is_any_written = true;
     }
     if repeated > 0 {
         commands.report(DecisionEvent::ExclusionsRepeated(repeated));
     }
+    is_any_written
 }
 
 /// Writes tables until one does not fit.
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::decision::exclusion::{ExclusionChange, ExclusionState};
+use crate::decision::publish::UPDATE_EXPIRY;
 
 fn due_exclusions(controller: &Controller, now: Seconds) -> Vec<ExclusionChange> {
     controller.exclusions.due_changes(now, &controller.hosts, &controller.slices, false)
@@ -78,17 +79,17 @@
 fn host_listed_after_restart_is_readmitted() {
     let reconnected = (0..2).map(|k| ProxyStreamEvent::Reconnected(ProxyId(k))).collect();
     let mut controller = restarted_controller(1..=3, reconnected);
-    let commands = list_host(&mut controller, 130.0, 4);
+    let commands = list_host(&mut controller, 110.0, 4);
     assert_eq!(commands.exclusions, [(host(4), false)]);
-    controller.handle_batch(&tick(132.0), &mut RecordedCommands::default());
-    assert!(due_exclusions(&controller, 132.0).is_empty(), "a readmission is published once");
+    controller.handle_batch(&tick(112.0), &mut RecordedCommands::default());
+    assert!(due_exclusions(&controller, 112.0).is_empty(), "a readmission is published once");
 }
 
 #[test]
 fn host_listed_without_restart_needs_no_readmission() {
     let connected = (0..2).map(|k| ProxyStreamEvent::Connected(ProxyId(k))).collect();
     let mut controller = restarted_controller(1..=3, connected);
-    assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, []);
+    assert_eq!(list_host(&mut controller, 110.0, 4).exclusions, []);
 }
 
 /// Guards against review/3: a restart stayed unnoticed if the first proxy that connected was a new one, so the other
@@ -102,7 +103,7 @@
         let mut commands = RecordedCommands::default();
         controller.handle_batch(&EventBatch { proxy_streams: streams, ..tick(102.0) }, &mut commands);
         assert_eq!(commands.exclusions, [1, 2, 3].map(|n| (host(n), false)));
-        assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, [(host(4), false)]);
+        assert_eq!(list_host(&mut controller, 110.0, 4).exclusions, [(host(4), false)]);
     }
 }
 
@@ -169,3 +170,28 @@
     assert_eq!(commands.exclusions, [], "no proxy can exclude a host");
     assert_eq!(list_host(&mut controller, 130.0, 4).exclusions, []);
 }
+
+/// Guards against a readmission that waited in the channel until its update expired and was then lost: it counted as
+/// received.
+#[test]
+fn readmission_is_repeated_if_its_update_expires_unacknowledged() {
+    let mut controller = controller(config());
+    let mut commands = RecordedCommands::default();
+    (0..2).for_each(|_| {
+        controller.handle_batch(&health_checked(101.0, 2, HealthCheckOutcome::Unreachable), &mut commands)
+    });
+    controller.handle_batch(&tick(101.5), &mut commands);
+    acknowledge_all(&mut controller, 101.9);
+    controller.handle_batch(&health_checked(102.0, 2, HealthCheckOutcome::Passed), &mut commands);
+    controller.handle_batch(&tick(102.5), &mut commands);
+    assert_eq!(commands.exclusions, [(host(2), true), (host(2), false)]);
+    let mut expired = RecordedCommands::default();
+    (0..2).for_each(|second| {
+        controller.handle_batch(&tick(102.5 + UPDATE_EXPIRY + f64::from(second)), &mut expired);
+    });
+    assert_eq!(expired.exclusions, [(host(2), false)]);
+    acknowledge_all(&mut controller, 124.0);
+    let mut acknowledged = RecordedCommands::default();
+    controller.handle_batch(&tick(125.0 + UPDATE_EXPIRY), &mut acknowledged);
+    assert_eq!(acknowledged.exclusions, []);
+}
--- /dev/null
+++ b/src/decision/tests/exclusion_model.rs
@@ -0,0 +1,457 @@
+//! Tests the exclusions against a model of two controllers, their channels and four proxies that apply what they are
+//! sent. Random steps break streams and subscriptions, kill and restart controllers and proxies, change the endpoint
+//! list and move slices. Once all of that has ended, no proxy may exclude a host that the controller can use.
+//!
+//! A longer run: `PROPTEST_CASES=200000 cargo test --release -p railhub exclusion_model`; `PROPTEST_RNG_SEED` sets the
+//! seed.
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use std::collections::VecDeque;
+
+const CONTROLLERS: usize = 2;
+const PROXIES: usize = 4;
+const HOSTS: u8 = 6;
+const SLICES: u16 = 12;
+const SETTLING_TIME: Seconds = 60.0;
+const STEP_INTERVAL: Seconds = 0.1;
+/// Steps between two ticks of a controller.
+const TICK_STEPS: u64 = 10;
+/// Seconds from the acceptance of a message by the channel until the proxy applies it.
+const TRANSIT_TIME: Seconds = 0.4;
+const CASES: u32 = 3_000;
+const SEED: u64 = 45;
+
+/// One random step; numbers of hosts start at 1, all others at 0.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The endpoint list reports a phase of a host.
+    ListHost { host: u8, phase: Phase },
+    /// The process of a host ends.
+    StopHost { host: u8 },
+    /// The process of a host starts.
+    StartHost { host: u8 },
+    /// The stream of a proxy to a controller breaks; messages in transit are lost.
+    BreakStream { proxy: usize, controller: usize },
+    /// A proxy connects to a running controller.
+    OpenStream { proxy: usize, controller: usize },
+    /// A proxy starts anew, without state and streams.
+    RestartProxy { proxy: usize },
+    /// A controller process is killed.
+    KillController { controller: usize },
+    /// A controller process starts.
+    StartController { controller: usize },
+    /// A controller no longer learns of streams and acknowledgements.
+    BreakSubscription { controller: usize },
+    /// A controller receives a snapshot of the streams, and learns of changes from then on.
+    Resubscribe { controller: usize },
+    /// The channel of a controller stops accepting messages.
+    StallChannel { controller: usize },
+    /// The channel of a controller accepts the messages that wait, and later ones at once.
+    ResumeChannel { controller: usize },
+    /// A slice moves to a controller, if that is running.
+    MoveSlice { slice: u16, controller: usize },
+    /// Time passes.
+    Wait { tenths: u16 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let (host, proxy, controller) = (|| 1..=HOSTS, || 0..PROXIES, || 0..CONTROLLERS);
+    let phase = prop_oneof![Just(Phase::Ready), Just(Phase::Draining), Just(Phase::Gone)];
+    prop_oneof![
+        6 => (host(), phase).prop_map(|(host, phase)| Step::ListHost { host, phase }),
+        3 => host().prop_map(|host| Step::StopHost { host }),
+        3 => host().prop_map(|host| Step::StartHost { host }),
+        2 => (proxy(), controller()).prop_map(|(proxy, controller)| Step::BreakStream { proxy, controller }),
+        4 => (proxy(), controller()).prop_map(|(proxy, controller)| Step::OpenStream { proxy, controller }),
+        1 => proxy().prop_map(|proxy| Step::RestartProxy { proxy }),
+        1 => controller().prop_map(|controller| Step::KillController { controller }),
+        2 => controller().prop_map(|controller| Step::StartController { controller }),
+        1 => controller().prop_map(|controller| Step::BreakSubscription { controller }),
+        2 => controller().prop_map(|controller| Step::Resubscribe { controller }),
+        1 => controller().prop_map(|controller| Step::StallChannel { controller }),
+        2 => controller().prop_map(|controller| Step::ResumeChannel { controller }),
+        1 => (0..SLICES, controller()).prop_map(|(slice, controller)| Step::MoveSlice { slice, controller }),
+        6 => (1..40u16).prop_map(|tenths| Step::Wait { tenths }),
+        2 => (200..260u16).prop_map(|tenths| Step::Wait { tenths }),
+    ]
+}
+
+/// A proxy's stream to one controller, and what it holds from there.
+#[derive(Clone, Default)]
+struct ProxyState {
+    excluded: BTreeSet<HostId>,
+    is_connected: bool,
+    /// Streams to this controller since the proxy started.
+    streams: u32,
+}
+
+impl ProxyState {
+    fn connection_event(&self, proxy: usize) -> ProxyStreamEvent {
+        let proxy = ProxyId(proxy as u16);
+        if self.streams == 1 {
+            ProxyStreamEvent::Connected(proxy)
+        } else {
+            ProxyStreamEvent::Reconnected(proxy)
+        }
+    }
+}
+
+/// The part of an update that concerns exclusions.
+#[derive(Clone)]
+struct Message {
+    exclusions: Vec<(HostId, bool)>,
+    barrier: BarrierId,
+}
+
+/// A message on its way to a proxy.
+struct Delivery {
+    proxy: usize,
+    arrives_at: Seconds,
+    message: Message,
+}
+
+/// A controller process with its channel; its proxies and slices outlive it.
+#[derive(Default)]
+struct ControllerProcess {
+    decisions: Option<Controller>,
+    events: EventBatch,
+    is_subscribed: bool,
+    /// Proxies that the process knows to be connected.
+    known_proxies: BTreeSet<usize>,
+    is_stalled: bool,
+    /// Messages that the channel has not accepted, and when the first one was sent.
+    waiting: Vec<Message>,
+    waiting_since: Option<Seconds>,
+    in_transit: VecDeque<Delivery>,
+    /// When messages were accepted.
+    sent_at: Vec<Seconds>,
+    proxies: Vec<ProxyState>,
+}
+
+struct Fleet {
+    now: Seconds,
+    step: u64,
+    config: ControllerConfig,
+    listed: BTreeMap<u8, Phase>,
+    running_hosts: BTreeSet<u8>,
+    /// The stored table of each slice, and the controller that it is assigned to.
+    tables: BTreeMap<SliceId, Vec<WeightedHost>>,
+    assigned_to: BTreeMap<SliceId, usize>,
+    controllers: Vec<ControllerProcess>,
+}
+
+fn model_entry(number: u8, phase: Phase) -> EndpointEntry {
+    entry(number, phase, None)
+}
+
+impl Fleet {
+    fn new(config: ControllerConfig) -> Fleet {
+        let table = |slice: u16| vec![WeightedHost { host: host(1 + slice as u8 % HOSTS), weight: 1.0 }];
+        let process = || ControllerProcess {
+            proxies: vec![ProxyState::default(); PROXIES],
+            ..ControllerProcess::default()
+        };
+        let mut fleet = Fleet {
+            now: 100.0,
+            step: 0,
+            config,
+            listed: (1..=HOSTS).map(|host| (host, Phase::Ready)).collect(),
+            running_hosts: (1..=HOSTS).collect(),
+            tables: (0..SLICES).map(|slice| (SliceId(slice), table(slice))).collect(),
+            assigned_to: (0..SLICES)
+                .map(|slice| (SliceId(slice), usize::from(slice) % CONTROLLERS))
+                .collect(),
+            controllers: (0..CONTROLLERS).map(|_| process()).collect(),
+        };
+        fleet.restore_everything();
+        fleet.wait(3.0);
+        fleet
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::ListHost { host, phase } => self.list_host(host, phase),
+            Step::StopHost { host } => drop(self.running_hosts.remove(&host)),
+            Step::StartHost { host } => drop(self.running_hosts.insert(host)),
+            Step::BreakStream { proxy, controller } => self.break_stream(proxy, controller),
+            Step::OpenStream { proxy, controller } => self.open_stream(proxy, controller),
+            Step::RestartProxy { proxy } => {
+                for controller in 0..CONTROLLERS {
+                    self.break_stream(proxy, controller);
+                    self.controllers[controller].proxies[proxy] = ProxyState::default();
+                }
+            }
+            Step::KillController { controller } => self.kill_controller(controller),
+            Step::StartController { controller } => self.start_controller(controller),
+            Step::BreakSubscription { controller } => self.controllers[controller].is_subscribed = false,
+            Step::Resubscribe { controller } => self.controllers[controller].resubscribe(),
+            Step::StallChannel { controller } => self.controllers[controller].is_stalled = true,
+            Step::ResumeChannel { controller } => {
+                let now = self.now;
+                self.controllers[controller].resume_channel(now);
+            }
+            Step::MoveSlice { slice, controller } => self.move_slice(SliceId(slice), controller),
+            Step::Wait { tenths } => self.wait(f64::from(tenths) * STEP_INTERVAL),
+        }
+    }
+
+    fn list_host(&mut self, number: u8, phase: Phase) {
+        if phase == Phase::Gone && self.listed.remove(&number).is_none() {
+            return;
+        }
+        if phase != Phase::Gone {
+            self.listed.insert(number, phase);
+        }
+        let list = EndpointList { complete: false, entries: vec![model_entry(number, phase)] };
+        for process in self.controllers.iter_mut().filter(|process| process.decisions.is_some()) {
+            process.events.endpoint_lists.push(list.clone());
+        }
+    }
+
+    fn break_stream(&mut self, proxy: usize, controller: usize) {
+        let process = &mut self.controllers[controller];
+        process.proxies[proxy].is_connected = false;
+        process.in_transit.retain(|delivery| delivery.proxy != proxy);
+        if process.is_subscribed && process.known_proxies.remove(&proxy) {
+            process.events.proxy_streams.push(ProxyStreamEvent::Disconnected(ProxyId(proxy as u16)));
+        }
+    }
+
+    fn open_stream(&mut self, proxy: usize, controller: usize) {
+        let process = &mut self.controllers[controller];
+        let state = &mut process.proxies[proxy];
+        if process.decisions.is_none() || state.is_connected {
+            return;
+        }
+        state.is_connected = true;
+        state.streams += 1;
+        if process.is_subscribed {
+            process.known_proxies.insert(proxy);
+            process.events.proxy_streams.push(state.connection_event(proxy));
+        }
+    }
+
+    /// The proxies keep what they hold; messages that wait or are in transit are lost.
+    fn kill_controller(&mut self, controller: usize) {
+        let mut proxies = std::mem::take(&mut self.controllers[controller].proxies);
+        proxies.iter_mut().for_each(|proxy| proxy.is_connected = false);
+        self.controllers[controller] = ControllerProcess { proxies, ..ControllerProcess::default() };
+    }
+
+    /// The new process starts with the hosts that are listed now and its stored tables.
+    fn start_controller(&mut self, controller: usize) {
+        if self.controllers[controller].decisions.is_some() {
+            return;
+        }
+        let entries = self.listed.iter().map(|(number, phase)| model_entry(*number, *phase)).collect();
+        let assigned = self.assigned_to.iter().filter(|(_, assigned_to)| **assigned_to == controller);
+        let assigned = assigned.map(|(slice, _)| self.assignment(*slice)).collect();
+        let process = &mut self.controllers[controller];
+        process.decisions = Some(Controller::new(self.config.clone()));
+        process.is_subscribed = true;
+        process.events.endpoint_lists.push(EndpointList { complete: true, entries });
+        process.events.assignments = assigned;
+        // The first batch of a controller is a tick, which sets the timer of the next one.
+        process.events.timers.push(TICK_TIMER);
+    }
+
+    fn assignment(&self, slice: SliceId) -> SliceAssignment {
+        SliceAssignment::Assigned { slice, entries: self.tables[&slice].clone() }
+    }
+
+    fn move_slice(&mut self, slice: SliceId, controller: usize) {
+        let former = self.assigned_to[&slice];
+        if former == controller || self.controllers[controller].decisions.is_none() {
+            return;
+        }
+        self.assigned_to.insert(slice, controller);
+        let assignment = self.assignment(slice);
+        self.controllers[controller].events.assignments.push(assignment);
+        if self.controllers[former].decisions.is_some() {
+            self.controllers[former].events.assignments.push(SliceAssignment::Revoked { slice });
+        }
+    }
+
+    fn wait(&mut self, duration: Seconds) {
+        for _ in 0..(duration / STEP_INTERVAL).round() as u64 {
+            self.step += 1;
+            self.now += STEP_INTERVAL;
+            for controller in 0..CONTROLLERS {
+                self.controllers[controller].deliver(self.now);
+                self.run_controller(controller);
+            }
+        }
+    }
+
+    /// Passes the collected events to the decisions of a controller and executes their commands.
+    fn run_controller(&mut self, controller: usize) {
+        let now = self.now;
+        let process = &mut self.controllers[controller];
+        let Some(decisions) = &mut process.decisions else { return };
+        let mut batch = std::mem::take(&mut process.events);
+        (batch.now, batch.oldest_pending_at) = (now, process.waiting_since);
+        if (self.step + controller as u64).is_multiple_of(TICK_STEPS) {
+            batch.timers.push(TICK_TIMER);
+        }
+        let mut commands = RecordedCommands::default();
+        decisions.handle_batch(&batch, &mut commands);
+        for checked in &commands.health_checks {
+            let is_running = self.running_hosts.iter().any(|number| host(*number) == *checked);
+            let outcome =
+                if is_running { HealthCheckOutcome::Passed } else { HealthCheckOutcome::Unreachable };
+            process.events.health_checks.push(HealthCheckResult { host: *checked, outcome });
+        }
+        for (slice, host, weight) in commands.lines {
+            if self.assigned_to[&slice] == controller {
+                set_line(self.tables.get_mut(&slice).expect("every slice is stored"), host, weight);
+            }
+        }
+        if let Some(barrier) = commands.barriers.last() {
+            process.send(now, Message { exclusions: commands.exclusions, barrier: *barrier });
+        }
+    }
+
+    /// Ends every fault: all hosts run and are listed, all controllers run, and all proxies are connected.
+    fn restore_everything(&mut self) {
+        for controller in 0..CONTROLLERS {
+            self.start_controller(controller);
+            self.controllers[controller].resume_channel(self.now);
+            if !self.controllers[controller].is_subscribed {
+                self.controllers[controller].resubscribe();
+            }
+            (0..PROXIES).for_each(|proxy| self.open_stream(proxy, controller));
+        }
+        for number in 1..=HOSTS {
+            self.running_hosts.insert(number);
+            self.list_host(number, Phase::Ready);
+        }
+    }
+
+    /// The usable hosts that a proxy excludes, by controller and proxy.
+    fn wrongly_excluded(&self) -> Vec<(usize, usize, HostId)> {
+        let mut wrong = Vec::new();
+        for (controller, process) in self.controllers.iter().enumerate() {
+            let Some(decisions) = &process.decisions else { continue };
+            let is_usable = |host: &HostId| decisions.hosts.get(host).is_some_and(Host::is_usable);
+            for (proxy, state) in process.proxies.iter().enumerate() {
+                let usable = state.excluded.iter().filter(|host| is_usable(host));
+                wrong.extend(usable.map(|host| (controller, proxy, *host)));
+            }
+        }
+        wrong
+    }
+
+    /// The largest number of messages that one controller process sent within the window of the message quota.
+    fn most_messages_in_window(&self) -> usize {
+        let window = self.config.message_quota_window;
+        let messages_from = |sent_at: &[Seconds], from: Seconds| {
+            sent_at.iter().filter(|at| (0.0..window).contains(&(**at - from))).count()
+        };
+        let counts = self.controllers.iter().flat_map(|process| {
+            process.sent_at.iter().map(move |from| messages_from(&process.sent_at, *from))
+        });
+        counts.max().unwrap_or(0)
+    }
+}
+
+impl ControllerProcess {
+    /// Reports the streams that ended, then all that are established, as after a new subscription.
+    fn resubscribe(&mut self) {
+        if self.decisions.is_none() {
+            return;
+        }
+        self.is_subscribed = true;
+        for proxy in std::mem::take(&mut self.known_proxies) {
+            if !self.proxies[proxy].is_connected {
+                self.events.proxy_streams.push(ProxyStreamEvent::Disconnected(ProxyId(proxy as u16)));
+            }
+        }
+        for (proxy, state) in self.proxies.iter().enumerate().filter(|(_, state)| state.is_connected) {
+            self.known_proxies.insert(proxy);
+            self.events.proxy_streams.push(state.connection_event(proxy));
+        }
+    }
+
+    fn send(&mut self, now: Seconds, message: Message) {
+        self.sent_at.push(now);
+        if self.is_stalled {
+            self.waiting_since.get_or_insert(now);
+            self.waiting.push(message);
+        } else {
+            self.accept(now, message);
+        }
+    }
+
+    fn accept(&mut self, now: Seconds, message: Message) {
+        for proxy in (0..PROXIES).filter(|proxy| self.proxies[*proxy].is_connected) {
+            let arrives_at = now + TRANSIT_TIME;
+            self.in_transit.push_back(Delivery { proxy, arrives_at, message: message.clone() });
+        }
+    }
+
+    fn resume_channel(&mut self, now: Seconds) {
+        self.is_stalled = false;
+        self.waiting_since = None;
+        for message in std::mem::take(&mut self.waiting) {
+            self.accept(now, message);
+        }
+    }
+
+    fn deliver(&mut self, now: Seconds) {
+        while self.in_transit.front().is_some_and(|delivery| delivery.arrives_at <= now) {
+            let Delivery { proxy, message, .. } = self.in_transit.pop_front().expect("checked above");
+            for (host, is_excluded) in message.exclusions {
+                if is_excluded {
+                    self.proxies[proxy].excluded.insert(host);
+                } else {
+                    self.proxies[proxy].excluded.remove(&host);
+                }
+            }
+            if self.is_subscribed {
+                let ack = BarrierAck { proxy: ProxyId(proxy as u16), barrier: message.barrier };
+                self.events.barrier_acks.push(ack);
+            }
+        }
+    }
+}
+
+fn set_line(table: &mut Vec<WeightedHost>, host: HostId, weight: f64) {
+    table.retain(|line| line.host != host);
+    if weight > 0.0 {
+        table.push(WeightedHost { host, weight });
+    }
+}
+
+/// `CASES` cases from `SEED`, unless the environment says otherwise.
+fn run_config() -> Config {
+    let default = Config::default();
+    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { default.cases } else { CASES };
+    let is_seeded = std::env::var_os("PROPTEST_RNG_SEED").is_some();
+    let rng_seed = if is_seeded { default.rng_seed } else { RngSeed::Fixed(SEED) };
+    Config { cases, rng_seed, failure_persistence: None, max_shrink_iters: 20_000, ..default }
+}
+
+proptest! {
+    #![proptest_config(run_config())]
+
+    /// Once everything runs again and time has passed, no proxy excludes a host that the controller can use.
+    #[test]
+    fn no_proxy_excludes_a_usable_host_once_events_settle(
+        steps in proptest::collection::vec(step(), 1..50),
+        delisted_may_serve in any::<bool>(),
+    ) {
+        let mut fleet = Fleet::new(ControllerConfig { delisted_may_serve, ..config() });
+        for step in steps {
+            fleet.apply(step);
+        }
+        fleet.restore_everything();
+        fleet.wait(SETTLING_TIME);
+        for process in &fleet.controllers {
+            let decisions = process.decisions.as_ref().expect("every controller runs");
+            prop_assert!(decisions.hosts.values().all(Host::is_usable), "a running, listed host is not usable");
+        }
+        prop_assert_eq!(fleet.wrongly_excluded(), vec![], "(controller, proxy, host)");
+        prop_assert!(fleet.most_messages_in_window() < config().message_quota as usize);
+    }
+}
--- a/src/decision/tests/mod.rs
+++ b/src/decision/tests/mod.rs
@@ -11,6 +11,7 @@
 mod controller;
 mod endpoint_list;
 mod exclusion;
+mod exclusion_model;
 mod health_check;
 mod health_score;
 mod load_estimate;
--- a/src/update_backlog.rs
+++ b/src/update_backlog.rs
@@ -23,6 +23,8 @@
     pub progress_at: Seconds,
     /// Slices whose tables are known to be empty once all recipients have acknowledged the update.
     pub cleared_slices: Vec<SliceId>,
+    /// It excludes or readmits hosts.
+    pub has_exclusions: bool,
 }
 
 impl Update {
@@ -37,6 +39,7 @@
             awaited,
             progress_at: now,
             cleared_slices: Vec::new(),
+            has_exclusions: false,
         }
     }
 }
@@ -102,9 +105,10 @@
         self.updates.extract_if(.., |update| update.awaited.is_empty()).collect()
     }
 
-    /// Drops updates that were sent `age` seconds ago or earlier: their acknowledgements are considered lost.
-    pub fn expire(&mut self, now: Seconds, age: Seconds) {
-        self.updates.retain(|update| now - update.sent_at < age);
+    /// Removes and returns the updates that were sent `age` seconds ago or earlier. They no longer wait in the channel;
+    /// whether the awaited proxies have received them is not known.
+    pub fn take_expired(&mut self, now: Seconds, age: Seconds) -> Vec<Update> {
+        self.updates.extract_if(.., |update| now - update.sent_at >= age).collect()
     }
 
     /// Lines that may still wait in the channel, summed over the proxies.
--- a/src/update_backlog/tests.rs
+++ b/src/update_backlog/tests.rs
@@ -74,7 +74,8 @@
 #[test]
 fn updates_expire_by_age() {
     let mut backlog = two_updates();
-    backlog.expire(21.5, 20.0);
+    let expired = backlog.take_expired(21.5, 20.0);
+    assert_eq!(expired.iter().map(|update| update.barrier).collect::<Vec<_>>(), [BarrierId(1)]);
     assert_eq!(backlog.updates().iter().map(|update| update.barrier).collect::<Vec<_>>(), [BarrierId(2)]);
 }
 
