Publish exclusions again that the relay did not carry out

What callers saw: nothing in operation. In a test the relay stops at a readmission or cannot read its call; the proxies go on excluding the host until the subscription breaks.

Cause: `PendingCommands` drops such commands.

Change: `EventBatch::undelivered_exclusions` names the hosts. Their state is unconfirmed and published again after 5 s, so that a relay that refuses it each time does not use up the message quota. A gone host whose readmission cannot be delivered is forgotten all the same; hosts without a state are unconfirmed from then on, so the table stays bounded by the known hosts.

--- a/crates/railhub-platform/src/command.rs
+++ b/crates/railhub-platform/src/command.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// The host that the command excludes or readmits.
+    pub(crate) fn exclusion(&self) -> Option<HostId> {
+        match *self {
+            Command::Exclude(host) | Command::Readmit(host) => Some(host),
+            _ => None,
+        }
+    }
+
     /// Whether the command changes the table of this slice.
     pub(crate) fn changes_table(&self, slice: SliceId) -> bool {
         self.table() == Some(slice)
--- a/crates/railhub-platform/src/controller.rs
+++ b/crates/railhub-platform/src/controller.rs
@@ -14,6 +14,7 @@
 //!    subscription shows the outcome ([`PlatformController::take_resubscribe_reason`]).
 use crate::batch::{PendingBatch, Timers};
 use crate::call::{CallTracker, ResubscribeReason};
+use crate::command::Command;
 use crate::config::NodeConfig;
 use crate::effects::{DroppedCommands, Effects};
 use crate::endpoints::EndpointPage;
@@ -323,18 +324,29 @@
             }
             Some(CallResponse::Rejected) => None,
             Some(CallResponse::Malformed) => {
-                Some(DroppedCommands::MalformedCall { commands: self.commands.drop_call() })
+                let dropped = self.commands.drop_call();
+                self.report_undelivered(&dropped);
+                Some(DroppedCommands::MalformedCall { commands: dropped.len() })
             }
             Some(CallResponse::Accepted(count)) => {
                 let AcceptedCommands { accepted, refused } = self.commands.on_accepted(count);
                 if self.subscription.on_accepted(accepted).is_err() {
                     self.require_snapshot(ResubscribeReason::SnapshotTooSlow);
                 }
+                self.report_undelivered(refused.as_slice());
                 refused.map(DroppedCommands::Refused)
             }
         }
     }
 
+    /// Reports the exclusions and readmissions among dropped commands to the decision logic. Tables need no report: the
+    /// next snapshot shows what the store has.
+    fn report_undelivered(&mut self, dropped: &[Command]) {
+        let hosts = dropped.iter().filter_map(Command::exclusion);
+        self.batch.events.undelivered_exclusions.extend(hosts);
+        self.batch.changed |= !self.batch.events.undelivered_exclusions.is_empty();
+    }
+
     /// Returns why a new subscription must be requested, if it must, and clears the reason.
     pub fn take_resubscribe_reason(&mut self) -> Option<ResubscribeReason> {
         let overflowed = std::mem::take(&mut self.commands.overflowed);
--- a/crates/railhub-platform/src/effects.rs
+++ b/crates/railhub-platform/src/effects.rs
@@ -18,7 +18,8 @@
     pub timer_lateness: Vec<Seconds>,
 }
 
-/// Commands that the relay will not carry out. The next snapshot corrects the state that the decision logic assumes.
+/// Commands that the relay will not carry out. Dropped exclusions and readmissions are reported to the decision logic; the
+/// next snapshot corrects the tables that it assumes.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
 pub enum DroppedCommands {
     /// The relay stopped at this command: it names something unknown to the relay, or contains a negative number.
--- a/crates/railhub-platform/src/pending_commands.rs
+++ b/crates/railhub-platform/src/pending_commands.rs
@@ -185,9 +185,9 @@
         entries
     }
 
-    /// Drops the current call, which the relay could not parse. Returns the number of its commands.
-    pub fn drop_call(&mut self) -> usize {
-        std::mem::take(&mut self.current_call).len()
+    /// Drops the current call, which the relay could not parse. Returns its commands.
+    pub fn drop_call(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.current_call)
     }
 
     /// The stored table with all pending commands applied, sorted by host.
--- a/crates/railhub-platform/tests/controller/calls.rs
+++ b/crates/railhub-platform/tests/controller/calls.rs
@@ -179,3 +179,34 @@
     controller.poll(START + 1.1);
     assert!(controller.next_call().is_some(), "the first update has left the backlog");
 }
+
+/// The position of the first command in a call whose text contains `text`.
+fn position_of(call: &Call, command: &str) -> Option<usize> {
+    text(call).split("{\"op\":").skip(1).position(|encoded| encoded.contains(command))
+}
+
+/// Guards against a readmission that the relay did not carry out: it counted as delivered, so the proxies went on
+/// excluding the host.
+#[test]
+fn dropped_readmission_is_sent_again_once_later() {
+    const READMISSION: &str = r#""restore","server":"s-1""#;
+    for is_malformed in [false, true] {
+        let mut controller = TestController::new(&config());
+        // The proxy has the exclusions of an earlier process, so every host is readmitted.
+        send_snapshot(&mut controller, START, &[joined(1), assigned(3), stored(3, 1)]);
+        controller.poll(START);
+        let call = controller.next_call().expect("readmissions are due");
+        let position = position_of(&call, READMISSION).expect("host s-1 is readmitted");
+        let accepted = CallResponse::Accepted(position);
+        let response = if is_malformed { CallResponse::Malformed } else { accepted };
+        assert!(controller.on_call_ended(Some(response)).is_some(), "commands are dropped");
+        let mut times = Vec::new();
+        for second in 1..=12 {
+            let now = START + f64::from(second);
+            if accept_all_calls(&mut controller, now).contains(READMISSION) {
+                times.push(second);
+            }
+        }
+        assert!(matches!(times[..], [5..=7]), "sent again after {times:?} s");
+    }
+}
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -17,6 +17,10 @@
 use crate::interface::{HostId, ProxyId, Seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Seconds until an exclusion or readmission that was not delivered is published again: a channel that refuses it each
+/// time must not use up the message quota.
+const REDELIVERY_INTERVAL: Seconds = 5.0;
+
 /// The state of a host as published to the proxies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ExclusionState {
@@ -50,6 +54,8 @@
     /// Hosts that were readmitted and are not listed any more, and when they were forgotten. They are removed from here
     /// once all connected proxies have acknowledged the readmission.
     forgotten: BTreeMap<HostId, Seconds>,
+    /// Hosts whose change was not delivered, and when it is published again.
+    undelivered: BTreeMap<HostId, Seconds>,
 }
 
 impl Exclusions {
@@ -76,6 +82,12 @@
         self.mark_unconfirmed();
     }
 
+    /// The last change of a host was not delivered to some proxy.
+    pub fn on_undelivered(&mut self, now: Seconds, host: HostId) {
+        self.published.insert(host, ExclusionState::Unconfirmed);
+        self.undelivered.insert(host, now + REDELIVERY_INTERVAL);
+    }
+
     /// Marks the published states as unconfirmed: a proxy may have missed any of them. If that includes the readmission
     /// of a forgotten host, which has no state of its own, the states of all hosts are unconfirmed.
     fn mark_unconfirmed(&mut self) {
@@ -90,15 +102,23 @@
     pub fn apply(&mut self, change: ExclusionChange) {
         let state = if change.is_excluded { ExclusionState::Excluded } else { ExclusionState::Admitted };
         self.published.insert(change.host, state);
+        self.undelivered.remove(&change.host);
     }
 
-    /// Whether a host may be forgotten: no proxy needs to be told that it is readmitted.
+    /// Whether a host may be forgotten: no proxy needs to be told that it is readmitted, or the readmission cannot be
+    /// delivered.
     pub fn may_forget(&self, host: HostId) -> bool {
-        self.published.get(&host).is_none_or(|state| *state == ExclusionState::Admitted)
+        let is_admitted = |state: &ExclusionState| *state == ExclusionState::Admitted;
+        self.published.get(&host).is_none_or(is_admitted) || self.undelivered.contains_key(&host)
     }
 
-    /// Removes the states of readmitted hosts that are not known any more.
+    /// Removes the states of readmitted hosts that are not known any more. Where the readmission was not delivered, the
+    /// states of all hosts without one are unconfirmed.
     pub fn forget_unknown_hosts(&mut self, now: Seconds, hosts: &BTreeMap<HostId, Host>) {
+        for (host, _) in self.undelivered.extract_if(.., |host, _| !hosts.contains_key(host)) {
+            self.published.remove(&host);
+            self.others = ExclusionState::Unconfirmed;
+        }
         let is_obsolete = |host: &HostId, state: &mut ExclusionState| {
             *state == ExclusionState::Admitted && !hosts.contains_key(host)
         };
@@ -148,6 +168,7 @@
         let mut changes = Vec::new();
         changes.extend(excluded.filter_map(|id| self.change_to(*id, ExclusionState::Excluded)));
         changes.extend(readmitted.iter().filter_map(|id| self.change_to(*id, ExclusionState::Admitted)));
+        changes.retain(|change| self.undelivered.get(&change.host).is_none_or(|due| *due <= now));
         changes
     }
 
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -129,6 +129,9 @@
             self.apply_barrier_ack(now, ack);
         }
         self.apply_acknowledged_updates(now);
+        for host in &batch.undelivered_exclusions {
+            self.exclusions.on_undelivered(now, *host);
+        }
         let needs_evaluation =
             hosts_went_down || !batch.endpoint_lists.is_empty() || !batch.assignments.is_empty();
         if self.config.slice_count == 0 {
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -195,3 +195,46 @@
     controller.handle_batch(&tick(125.0 + UPDATE_EXPIRY), &mut acknowledged);
     assert_eq!(acknowledged.exclusions, []);
 }
+
+/// Guards against a readmission that the channel dropped: its update was acknowledged, so it counted as received.
+#[test]
+fn undelivered_readmission_is_published_again_later() {
+    let mut controller = controller(config());
+    let mut commands = RecordedCommands::default();
+    (0..2).for_each(|_| {
+        controller.handle_batch(&health_checked(101.0, 2, HealthCheckOutcome::Unreachable), &mut commands)
+    });
+    controller.handle_batch(&health_checked(103.0, 2, HealthCheckOutcome::Passed), &mut commands);
+    controller.handle_batch(&tick(103.5), &mut commands);
+    assert_eq!(commands.exclusions, [(host(2), true), (host(2), false)]);
+    acknowledge_all(&mut controller, 103.8);
+    let undelivered = EventBatch { undelivered_exclusions: vec![host(2)], ..tick(104.0) };
+    let mut early = RecordedCommands::default();
+    controller.handle_batch(&undelivered, &mut early);
+    controller.handle_batch(&tick(108.0), &mut early);
+    assert_eq!(early.exclusions, [], "a refused command must not be repeated at once");
+    let mut late = RecordedCommands::default();
+    controller.handle_batch(&tick(110.0), &mut late);
+    controller.handle_batch(&tick(111.0), &mut late);
+    assert_eq!(late.exclusions, [(host(2), false)]);
+}
+
+#[test]
+fn host_whose_readmission_is_never_delivered_is_forgotten() {
+    let mut controller = controller(ControllerConfig { delisted_may_serve: false, ..config() });
+    let gone = endpoint_update(101.0, vec![entry(4, Phase::Gone, None)]);
+    controller.handle_batch(&gone, &mut RecordedCommands::default());
+    for second in 102..=140 {
+        let mut commands = RecordedCommands::default();
+        controller.handle_batch(&tick(f64::from(second)), &mut commands);
+        acknowledge_all(&mut controller, f64::from(second) + 0.3);
+        let undelivered_exclusions = commands.exclusions.iter().map(|(host, _)| *host).collect();
+        let batch =
+            EventBatch { now: f64::from(second) + 0.5, undelivered_exclusions, ..EventBatch::default() };
+        controller.handle_batch(&batch, &mut RecordedCommands::default());
+    }
+    assert!(
+        !controller.hosts.contains_key(&host(4)) && !controller.exclusions.published().contains_key(&host(4))
+    );
+    assert!(list_host(&mut controller, 150.0, 4).exclusions.contains(&(host(4), false)));
+}
--- a/src/decision/tests/exclusion_model.rs
+++ b/src/decision/tests/exclusion_model.rs
@@ -49,6 +49,8 @@
     StallChannel { controller: usize },
     /// The channel of a controller accepts the messages that wait, and later ones at once.
     ResumeChannel { controller: usize },
+    /// The channel of a controller refuses the exclusions and readmissions of the next message.
+    RefuseExclusions { controller: usize },
     /// A slice moves to a controller, if that is running.
     MoveSlice { slice: u16, controller: usize },
     /// Time passes.
@@ -71,6 +73,7 @@
         2 => controller().prop_map(|controller| Step::Resubscribe { controller }),
         1 => controller().prop_map(|controller| Step::StallChannel { controller }),
         2 => controller().prop_map(|controller| Step::ResumeChannel { controller }),
+        1 => controller().prop_map(|controller| Step::RefuseExclusions { controller }),
         1 => (0..SLICES, controller()).prop_map(|(slice, controller)| Step::MoveSlice { slice, controller }),
         6 => (1..40u16).prop_map(|tenths| Step::Wait { tenths }),
         2 => (200..260u16).prop_map(|tenths| Step::Wait { tenths }),
@@ -120,6 +123,7 @@
     /// Proxies that the process knows to be connected.
     known_proxies: BTreeSet<usize>,
     is_stalled: bool,
+    refuses_exclusions: bool,
     /// Messages that the channel has not accepted, and when the first one was sent.
     waiting: Vec<Message>,
     waiting_since: Option<Seconds>,
@@ -191,6 +195,7 @@
                 let now = self.now;
                 self.controllers[controller].resume_channel(now);
             }
+            Step::RefuseExclusions { controller } => self.controllers[controller].refuses_exclusions = true,
             Step::MoveSlice { slice, controller } => self.move_slice(SliceId(slice), controller),
             Step::Wait { tenths } => self.wait(f64::from(tenths) * STEP_INTERVAL),
         }
@@ -383,7 +388,12 @@
         }
     }
 
-    fn accept(&mut self, now: Seconds, message: Message) {
+    fn accept(&mut self, now: Seconds, mut message: Message) {
+        if self.refuses_exclusions && !message.exclusions.is_empty() {
+            let refused = std::mem::take(&mut message.exclusions);
+            self.events.undelivered_exclusions.extend(refused.into_iter().map(|(host, _)| host));
+            self.refuses_exclusions = false;
+        }
         for proxy in (0..PROXIES).filter(|proxy| self.proxies[*proxy].is_connected) {
             let arrives_at = now + TRANSIT_TIME;
             self.in_transit.push_back(Delivery { proxy, arrives_at, message: message.clone() });
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -186,6 +186,8 @@
     pub health_checks: Vec<HealthCheckResult>,
     /// Barriers that proxies acknowledged.
     pub barrier_acks: Vec<BarrierAck>,
+    /// Hosts whose exclusion or readmission was not delivered: the channel dropped the command, or a proxy rejected it.
+    pub undelivered_exclusions: Vec<HostId>,
     /// Timers that have expired.
     pub timers: Vec<TimerId>,
     /// When the oldest commands that the channel has not accepted yet were issued; `None` if it has accepted all. A
