Publish exclusions again that a proxy rejected with their delta

What callers saw: nothing in operation.

Cause: a rejected change is kept back until there is a new one, and its barrier passes, which the decisions took for a receipt.

Evidence: `rejected_readmission_is_sent_again_without_another_change` fails on the code before (no delta within the test's 20 s) and passes now; `rejected_delta_is_resent_only_with_next_change` holds as before.

--- a/crates/railhub-controller/src/core/controller_core.rs
+++ b/crates/railhub-controller/src/core/controller_core.rs
@@ -190,5 +190,6 @@
         || !batch.proxy_streams.is_empty()
         || !batch.health_checks.is_empty()
         || !batch.barrier_acks.is_empty()
+        || !batch.undelivered_exclusions.is_empty()
         || !batch.timers.is_empty()
 }
--- a/crates/railhub-controller/src/core/streams.rs
+++ b/crates/railhub-controller/src/core/streams.rs
@@ -65,7 +65,8 @@
     }
 
     /// Handles a proxy's response to a delta, and returns whether the delta was in flight. A rejected delta passes its
-    /// barrier like an acknowledged one: it has left the channel, and the decision engine depends on nothing else.
+    /// barrier like an acknowledged one, since it has left the channel; the decision engine is told which exclusions in it
+    /// were not applied.
     pub fn on_delta_response(
         &mut self,
         now: Seconds,
@@ -81,7 +82,10 @@
         if session.channel.is_idle() {
             self.propagation.proxy_done(now, proxy);
         }
-        self.figures.nacks += u64::from(response == DeltaResponse::Nack);
+        if response == DeltaResponse::Nack {
+            self.figures.nacks += 1;
+            self.batch.undelivered_exclusions.extend(session.channel.rejected_exclusions());
+        }
         self.batch.barrier_acks.extend(barrier.map(|barrier| BarrierAck { proxy, barrier }));
         true
     }
--- a/crates/railhub-controller/src/delta_queue.rs
+++ b/crates/railhub-controller/src/delta_queue.rs
@@ -7,9 +7,10 @@
 //! 2. [`DeltaQueue::next_action`] returns it to the writer once fewer than [`MAX_DELTAS_IN_FLIGHT`] deltas are in
 //!    flight and the [`MessageQuota`] allows it.
 //! 3. An ACK removes it, and all deltas sent before it. A NACK keeps its change back until there is a new one to send.
+//!    The decision engine learns of the exclusions in it and publishes them again, which is a new change.
 use crate::change::Change;
 use crate::publication::Publication;
-use railhub::{BarrierId, Seconds};
+use railhub::{BarrierId, HostId, Seconds};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -185,6 +186,11 @@
         ResponseEffect::Settled { barrier: sent.publication.barrier }
     }
 
+    /// Hosts whose exclusion or readmission the proxy rejected and that is kept back.
+    pub fn rejected_exclusions(&self) -> Vec<HostId> {
+        self.rejected.iter().flat_map(|change| change.exclusions.keys().copied()).collect()
+    }
+
     fn position_in_flight(&self, nonce: u64) -> Option<usize> {
         self.in_flight.iter().position(|sent| sent.publication.version == nonce)
     }
--- a/crates/railhub-controller/src/stream_handle.rs
+++ b/crates/railhub-controller/src/stream_handle.rs
@@ -5,7 +5,7 @@
 use crate::lease_table::LeaseTable;
 use crate::publication::Publication;
 use may::sync::{Mutex, Semphore};
-use railhub::Seconds;
+use railhub::{HostId, Seconds};
 use std::sync::Arc;
 
 /// The deltas of one stream, and the semaphore that wakes its writer.
@@ -98,6 +98,10 @@
         effect
     }
 
+    fn rejected_exclusions(&self) -> Vec<HostId> {
+        self.with_state(|state| state.queue.rejected_exclusions())
+    }
+
     fn is_idle(&self) -> bool {
         self.with_state(|state| state.queue.is_idle())
     }
--- a/crates/railhub-controller/tests/slice_handoff.rs
+++ b/crates/railhub-controller/tests/slice_handoff.rs
@@ -27,6 +27,9 @@
     fn on_response(&self, _: u64, _: DeltaResponse) -> ResponseEffect {
         ResponseEffect::Stale
     }
+    fn rejected_exclusions(&self) -> Vec<HostId> {
+        Vec::new()
+    }
     fn is_idle(&self) -> bool {
         true
     }
--- a/crates/railhub-controller/tests/streams.rs
+++ b/crates/railhub-controller/tests/streams.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::TestRunner;
 use railhub_emulator::endpoint_list::{DRAINING, READY};
 use railhub_emulator::routing::RoutingState;
-use railhub_proto::{from_proxy, Ack, HostLoad, LoadReport};
+use railhub_proto::{from_proxy, Ack, Delta, HostLoad, LoadReport};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -122,6 +122,32 @@
     wait_until("the rejection is counted", || controller.figures().nacks >= 1);
 }
 
+/// Guards against a readmission in a rejected delta: without another change it was never sent again, so the proxy went on
+/// excluding the host.
+#[test]
+fn rejected_readmission_is_sent_again_without_another_change() {
+    let fleet = open_fleet(4, 40);
+    let controller = fleet.start();
+    let mut proxy = TestProxy::connect(controller.address, 0);
+    proxy.apply_until(|routing| routing.tables().len() == 40);
+    fleet.set_phase(1, DRAINING);
+    let draining = fleet.address(1);
+    proxy.apply_until(|routing| routing.excludes(draining));
+    fleet.set_phase(1, READY);
+    let readmits = |delta: &Delta| {
+        let mut exclusions = delta.exclusions.iter();
+        exclusions.any(|exclusion| exclusion.host == draining.to_string() && !exclusion.excluded)
+    };
+    let mut delta = proxy.next_delta();
+    while !readmits(&delta) {
+        proxy.acknowledge(&delta);
+        delta = proxy.next_delta();
+    }
+    proxy.reject(&delta);
+    assert!(proxy.routing.excludes(draining), "a proxy keeps its exclusions when it rejects a delta");
+    proxy.apply_until(|routing| !routing.excludes(draining));
+}
+
 #[test]
 fn slow_reader_is_closed_and_delays_no_other_proxy() {
     let fleet = open_fleet(6, 200);
--- a/crates/railhub-emulator/src/routing.rs
+++ b/crates/railhub-emulator/src/routing.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Whether operations must not be sent to a host, whatever the tables say.
+    pub fn excludes(&self, host: SocketAddr) -> bool {
+        self.excluded.contains(&host)
+    }
+
     /// All tables, by slice.
     pub fn tables(&self) -> &BTreeMap<u32, Table> {
         &self.tables
--- a/crates/railhub-simulator/src/controller.rs
+++ b/crates/railhub-simulator/src/controller.rs
@@ -76,6 +76,9 @@
     fn on_response(&self, nonce: u64, response: DeltaResponse) -> ResponseEffect {
         self.0.borrow_mut().delta_queue.on_response(nonce, response)
     }
+    fn rejected_exclusions(&self) -> Vec<HostId> {
+        self.0.borrow().delta_queue.rejected_exclusions()
+    }
     fn is_idle(&self) -> bool {
         self.0.borrow().delta_queue.is_idle()
     }
