--- a/crates/railhub-controller/tests/streams.rs
+++ b/crates/railhub-controller/tests/streams.rs
@@ -4,7 +4,7 @@
 use common::{open_fleet, routes_to, sorted_tables, wait_until, Received, TestProxy, TEST_TIMEOUT};
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
-use railhub_emulator::endpoint_list::{DRAINING, READY};
+use railhub_emulator::endpoint_list::{DRAINING, GONE, READY};
 use railhub_emulator::routing::RoutingState;
 use railhub_proto::{from_proxy, Ack, Delta, HostLoad, LoadReport};
 use std::io::Write;
@@ -148,6 +148,28 @@
     proxy.apply_until(|routing| !routing.excludes(draining));
 }
 
+/// A proxy that holds the exclusions of an earlier controller process discards them with its first snapshot, so that a
+/// host which is not listed at that time is not excluded later.
+#[test]
+fn exclusions_of_an_earlier_process_end_with_the_snapshot() {
+    let fleet = open_fleet(4, 40);
+    let controller = fleet.start();
+    let mut proxy = TestProxy::connect(controller.address, 0);
+    proxy.apply_until(|routing| routing.tables().len() == 40);
+    fleet.set_phase(1, DRAINING);
+    let draining = fleet.address(1);
+    proxy.apply_until(|routing| routing.excludes(draining));
+    fleet.set_phase(1, GONE);
+    drop(controller);
+    let restarted = fleet.start();
+    let (mut proxy, snapshot) = TestProxy::connect_after(restarted.address, 0, 1, &proxy.routing);
+    assert!(snapshot.reset);
+    proxy.acknowledge(&snapshot);
+    fleet.set_phase(1, READY);
+    proxy.apply_for(OBSERVATION_TIME);
+    assert!(!proxy.routing.excludes(draining));
+}
+
 #[test]
 fn slow_reader_is_closed_and_delays_no_other_proxy() {
     let fleet = open_fleet(6, 200);
