Use the scripted peers in the tests of races, and share setups of tests

What callers saw: nothing. `races.rs` had its own connection, messages and discovery, the same as those of `common/scripted.rs`; two tests of streams and two files of the adapter shared their setup by copy.

Change: `races.rs` uses `Connection`, `ScriptedDiscovery` and the messages of `scripted.rs`, which gain `next_line`, `wait_for_close`, `slice_assigned`, `table_entry` and `call_id`; only its relay stays, which hands calls and subscriptions to the test apart. What the tests assert and their time limits are as before.

--- a/crates/railhub-adapter/tests/restarts.rs
+++ b/crates/railhub-adapter/tests/restarts.rs
@@ -1,15 +1,10 @@
 //! Instances that are killed and created again in a running adapter while their proxies keep what they hold.
+mod common;
+
+use common::CREATE;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const CREATE: &str =
-    "CREATE seed=7 ceilings.probes=false family_info.backlog=1000.0 family_info.envelope=8.0 \
-    family_info.exclusive=false family_info.first_wait=1.0 family_info.key_ranges=4 \
-    family_info.messages_over_us=10000000 family_info.throttle_by=share \
-    family_info.update_cap=20 request_classes.count=1 request_classes.0.aim_us=800000 \
-    request_classes.0.effect=repeatable request_classes.0.name=view \
-    request_classes.0.worth=1.0 rules.cold_from=0.2 rules.fall_multiple=2.5 \
-    rules.warm_within_us=10000000 telemetry.names=rif,busy zones=a,b tick_us=4000";
 /// Host 1 drains, so that the first process excludes it.
 const DRAIN: &str = "ENDPOINTS rev=2 how=incr records=1\nITEM phase=leaving host=10.0.0.1:80 zone=a flavor=m";
 const EXCLUSION: &str = "BENCH host=10.0.0.1:80 on=1";
@@ -23,7 +18,8 @@
     let owned = |slice: u8, host: u8| {
         format!("TENURE sheet={slice} on=1\nSTORED_LINE sheet={slice} host=10.0.0.{host}:80 w=1")
     };
-    format!("{CREATE}\n{list}\n{}\n{}", owned(0, 2), owned(1, first_host))
+    let create = CREATE.replace("ceilings.probes=true", "ceilings.probes=false");
+    format!("{create}\n{list}\n{}\n{}", owned(0, 2), owned(1, first_host))
 }
 
 /// Runs the adapter on batches, each with its time in seconds; returns the replies.
--- a/crates/railhub-cli/tests/common/scripted.rs
+++ b/crates/railhub-cli/tests/common/scripted.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Connection {
+    pub fn new(stream: TcpStream) -> Connection {
         let (sender, lines) = channel();
         let reader = BufReader::new(stream.try_clone().expect("the stream can be cloned"));
         std::thread::spawn(move || {
@@ -35,6 +35,32 @@
         self.stream.write_all(text.as_bytes()).expect("the controller keeps the connection open");
     }
 
+    /// The next line that the controller sends; `None` if it closes the connection before.
+    pub fn first_line(&self) -> Option<String> {
+        self.lines.recv().ok()
+    }
+
+    /// The next line that the controller sends before the timeout.
+    pub fn next_line(&self, what: &str) -> String {
+        self.lines
+            .recv_timeout(EVENT_TIMEOUT)
+            .unwrap_or_else(|_| panic!("timed out after {EVENT_TIMEOUT:?}: {what}"))
+    }
+
+    /// Waits until the controller closes the connection, and returns the lines received before.
+    pub fn wait_for_close(&self) -> Vec<String> {
+        let mut received = Vec::new();
+        loop {
+            match self.lines.recv_timeout(EVENT_TIMEOUT) {
+                Ok(line) => received.push(line),
+                Err(RecvTimeoutError::Disconnected) => return received,
+                Err(RecvTimeoutError::Timeout) => {
+                    panic!("the controller did not close the connection within {EVENT_TIMEOUT:?}")
+                }
+            }
+        }
+    }
+
     /// Sends pings until the controller closes the connection.
     pub fn keep_alive(mut self) {
         std::thread::spawn(move || {
@@ -68,7 +94,7 @@
 pub const PING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
 pub const SUBSCRIBED: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n";
 
-fn notification(method: &str, params: &str) -> String {
+pub fn notification(method: &str, params: &str) -> String {
     format!("{{\"jsonrpc\":\"2.0\",\"method\":\"{method}\",\"params\":{params}}}\n")
 }
 
@@ -82,10 +108,19 @@
     notification("joined", &format!(r#"{{"proxy":{proxy},"zone":"a","weight":2,"fresh":false}}"#))
 }
 
+/// Assigns a slice to the controller; the entries of its table follow.
+pub fn slice_assigned(slice: u16) -> String {
+    notification("given", &format!(r#"{{"slice":{slice},"on":true}}"#))
+}
+
+/// One entry of the table of an assigned slice.
+pub fn table_entry(slice: u16, host: &str, weight: f64) -> String {
+    notification("held", &format!(r#"{{"slice":{slice},"server":"{host}","weight":{weight}}}"#))
+}
+
 /// Assigns a slice to the controller, with a table of one entry.
 pub fn slice_with_owner(slice: u16, host: &str) -> String {
-    notification("given", &format!(r#"{{"slice":{slice},"on":true}}"#))
-        + &notification("held", &format!(r#"{{"slice":{slice},"server":"{host}","weight":1.0}}"#))
+    slice_assigned(slice) + &table_entry(slice, host, 1.0)
 }
 
 /// A snapshot with proxy 1, and slice 3 with the owner s-1; the controller then requests a standby for the slice.
@@ -93,14 +128,14 @@
     SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_with_owner(3, "s-1") + PING
 }
 
+/// The id of a call.
+pub fn call_id(call: &str) -> &str {
+    call.split("\"id\":").nth(1).and_then(|rest| rest.split([',', '}']).next()).expect("the call has an id")
+}
+
 /// The response that accepts all commands of a call.
 pub fn all_accepted(call: &str) -> String {
-    let id = call
-        .split("\"id\":")
-        .nth(1)
-        .and_then(|rest| rest.split([',', '}']).next())
-        .expect("the call has an id");
-    format!("{{\"id\":{id},\"result\":{{\"taken\":{}}}}}\n", call.matches("\"op\"").count())
+    format!("{{\"id\":{},\"result\":{{\"taken\":{}}}}}\n", call_id(call), call.matches("\"op\"").count())
 }
 
 /// How long a relay waits before it responds.
--- a/crates/railhub-cli/tests/races.rs
+++ b/crates/railhub-cli/tests/races.rs
@@ -1,83 +1,26 @@
 //! Races between two events at a controller process in platform mode, on loopback. A scripted relay or discovery delays
 //! its response, disconnects or sends at the point that the test chooses, so that each race occurs in every run.
 mod common;
+#[path = "common/scripted.rs"]
+mod scripted;
 
 use common::{config_text, eventually, free_address, Controller, EVENT_TIMEOUT};
+use scripted::{
+    all_accepted, call_id, chunk, notification, page, proxy_joined, slice_assigned, snapshot, table_entry,
+    Connection, ScriptedDiscovery, Watch, PING, SUBSCRIBED, WATCH_HEAD,
+};
 use std::fs::OpenOptions;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::OpenOptionsExt;
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::{Duration, Instant};
 
-/// A connection accepted by a scripted peer, and the lines received on it.
-struct Peer {
-    stream: TcpStream,
-    lines: Receiver<String>,
-}
-
-impl Peer {
-    fn new(stream: TcpStream) -> Peer {
-        let (sender, lines) = channel();
-        let reader = BufReader::new(stream.try_clone().expect("the stream can be cloned"));
-        std::thread::spawn(move || {
-            reader.lines().map_while(Result::ok).take_while(|line| sender.send(line.clone()).is_ok()).count();
-        });
-        Peer { stream, lines }
-    }
-
-    fn send(&mut self, text: &str) {
-        self.stream.write_all(text.as_bytes()).expect("the controller keeps the connection open");
-    }
-
-    fn next_line(&self, what: &str) -> String {
-        self.lines
-            .recv_timeout(EVENT_TIMEOUT)
-            .unwrap_or_else(|_| panic!("timed out after {EVENT_TIMEOUT:?}: {what}"))
-    }
-
-    /// Waits until the controller closes the connection, and returns the lines received before.
-    fn wait_for_close(&self) -> Vec<String> {
-        let mut received = Vec::new();
-        loop {
-            match self.lines.recv_timeout(EVENT_TIMEOUT) {
-                Ok(line) => received.push(line),
-                Err(RecvTimeoutError::Disconnected) => return received,
-                Err(RecvTimeoutError::Timeout) => {
-                    panic!("the controller did not close the connection within {EVENT_TIMEOUT:?}")
-                }
-            }
-        }
-    }
-}
-
-fn call_id(line: &str) -> &str {
-    line.split("\"id\":").nth(1).and_then(|rest| rest.split([',', '}']).next()).expect("the call has an id")
-}
-
-fn proxy_joined(proxy: u16) -> String {
-    notification("joined", &format!(r#"{{"proxy":{proxy},"zone":"a","weight":2,"fresh":true}}"#))
-}
-
-fn slice_assigned(slice: u16) -> String {
-    notification("given", &format!(r#"{{"slice":{slice},"on":true}}"#))
-}
-
-fn table_entry(slice: u16, host: &str, weight: f64) -> String {
-    notification("held", &format!(r#"{{"slice":{slice},"server":"{host}","weight":{weight}}}"#))
-}
-
-fn notification(method: &str, params: &str) -> String {
-    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"{method}\",\"params\":{params}}}\n")
-}
-
-const PING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
-
 /// A relay that hands its connections to the test: those that subscribe apart from those that make calls.
 struct Relay {
     address: SocketAddr,
-    subscribers: Receiver<Peer>,
-    callers: Receiver<(Peer, String)>,
+    subscribers: Receiver<Connection>,
+    callers: Receiver<(Connection, String)>,
 }
 
 impl Relay {
@@ -87,15 +30,15 @@
         let ((subscriber, subscribers), (caller, callers)) = (channel(), channel());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (subscriber, caller): (Sender<Peer>, Sender<(Peer, String)>) =
+                let (subscriber, caller): (Sender<Connection>, Sender<(Connection, String)>) =
                     (subscriber.clone(), caller.clone());
                 std::thread::spawn(move || {
-                    let peer = Peer::new(stream);
-                    let Ok(first) = peer.lines.recv() else { return };
+                    let connection = Connection::new(stream);
+                    let Some(first) = connection.first_line() else { return };
                     let _ = if first.contains("\"subscribe\"") {
-                        subscriber.send(peer).is_ok()
+                        subscriber.send(connection).is_ok()
                     } else {
-                        caller.send((peer, first)).is_ok()
+                        caller.send((connection, first)).is_ok()
                     };
                 });
             }
@@ -104,12 +47,12 @@
     }
 
     /// The next connection that subscribes; no response was sent on it.
-    fn subscriber(&self) -> Peer {
+    fn subscriber(&self) -> Connection {
         self.subscribers.recv_timeout(EVENT_TIMEOUT).expect("a subscription arrives before the timeout")
     }
 
     /// The next connection that makes calls, with its first call.
-    fn caller(&self) -> (Peer, String) {
+    fn caller(&self) -> (Connection, String) {
         self.callers.recv_timeout(EVENT_TIMEOUT).expect("a call arrives before the timeout")
     }
 
@@ -118,18 +61,9 @@
     }
 }
 
-fn subscription_response() -> String {
-    "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n".to_owned()
-}
-
-/// The state at first: proxy 1, and slice 3 with the owner s-1.
-fn initial_snapshot() -> String {
-    subscription_response() + &proxy_joined(1) + &slice_assigned(3) + &table_entry(3, "s-1", 1.0) + PING
-}
-
-/// The same state after the relay has accepted the controller's command for a standby.
+/// The state of [`snapshot`] after the relay has accepted the controller's command for a standby.
 fn snapshot_with_standby() -> String {
-    subscription_response()
+    SUBSCRIBED.to_owned()
         + &proxy_joined(1)
         + &slice_assigned(3)
         + &table_entry(3, "s-1", 1.0)
@@ -137,57 +71,6 @@
         + PING
 }
 
-/// The response that accepts all commands of a call.
-fn all_accepted(call: &str) -> String {
-    format!("{{\"id\":{},\"result\":{{\"taken\":{}}}}}\n", call_id(call), call.matches("\"op\"").count())
-}
-
-/// A discovery that sends empty lines on each watch, or hands each watch and its request line to the test.
-struct Discovery {
-    address: SocketAddr,
-    watches: Receiver<(TcpStream, String)>,
-}
-
-impl Discovery {
-    fn open() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-        let address = listener.local_addr().expect("the listener is bound");
-        let (sender, watches) = channel();
-        std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                std::thread::spawn(move || {
-                    let mut request = String::new();
-                    let _ = BufReader::new(&stream).read_line(&mut request);
-                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
-                    let _ = sender.send((stream, request));
-                });
-            }
-        });
-        Discovery { address, watches }
-    }
-
-    fn watch(&self) -> (TcpStream, String) {
-        self.watches.recv_timeout(EVENT_TIMEOUT).expect("a watch arrives before the timeout")
-    }
-
-    /// Starts a discovery that keeps each watch open by empty lines.
-    fn idle() -> SocketAddr {
-        let discovery = Discovery::open();
-        let address = discovery.address;
-        std::thread::spawn(move || {
-            for (mut stream, _) in discovery.watches {
-                std::thread::spawn(move || {
-                    while stream.write_all(b"1\r\n\n\r\n").is_ok() {
-                        std::thread::sleep(Duration::from_millis(300));
-                    }
-                });
-            }
-        });
-        address
-    }
-}
-
 /// Writes a configuration with these addresses and signals the controller to reload it.
 fn reload_config(controller: &Controller, relay: SocketAddr, discovery: SocketAddr) {
     std::fs::write(&controller.config_file, config_text(controller.listen, relay, discovery))
@@ -204,11 +87,11 @@
 
 /// A controller whose first call, for the standby of slice 3, got no response yet. Returns the relay, the controller,
 /// its subscription, and the connection and text of the call.
-fn start_with_pending_call(name: &str) -> (Relay, Controller, Peer, Peer, String) {
+fn start_with_pending_call(name: &str) -> (Relay, Controller, Connection, Connection, String) {
     let relay = Relay::open();
-    let controller = Controller::start(name, relay.address, Discovery::idle());
+    let controller = Controller::start(name, relay.address, ScriptedDiscovery::idle());
     let mut subscription = relay.subscriber();
-    subscription.send(&initial_snapshot());
+    subscription.send(&snapshot());
     let (caller, call) = relay.caller();
     assert!(call.contains(r#"{"op":"share","table":3,"server":"s-2","weight":0.0001}"#), "{call}");
     (relay, controller, subscription, caller, call)
@@ -216,7 +99,7 @@
 
 #[test]
 fn an_executed_call_without_a_valid_response_is_not_repeated() {
-    let outcomes: [fn(&mut Peer); 2] = [
+    let outcomes: [fn(&mut Connection); 2] = [
         |caller| caller.send("{\"id\":\u{1}\n"),
         |caller| caller.stream.shutdown(std::net::Shutdown::Both).expect("the connection is open"),
     ];
@@ -239,7 +122,7 @@
     drop(caller);
     let mut subscription = relay.subscriber();
     relay.assert_no_call_within(Duration::from_millis(700));
-    subscription.send(&initial_snapshot());
+    subscription.send(&snapshot());
     let (mut caller, repeated) = relay.caller();
     let commands = |call: &str| call.split_once("orders").expect("the call has commands").1.to_owned();
     assert_eq!(commands(&repeated), commands(&call));
@@ -252,9 +135,9 @@
     let (relay, controller, mut subscription, mut caller, call) = start_with_pending_call("call-response");
     // The new relay sends a snapshot from before the call was executed; the response to the call arrives in between.
     let next = Relay::open();
-    reload_config(&controller, next.address, Discovery::idle());
+    reload_config(&controller, next.address, ScriptedDiscovery::idle());
     let mut next_subscription = next.subscriber();
-    next_subscription.send(&(subscription_response() + &proxy_joined(1) + &slice_assigned(3)));
+    next_subscription.send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_assigned(3)));
     subscription.wait_for_close();
     // All commands are accepted but the barrier at the end, so the log shows when the controller has read the response.
     let count = call.matches("\"op\"").count() - 1;
@@ -270,20 +153,16 @@
 #[test]
 fn an_interrupted_snapshot_is_not_taken_as_complete() {
     let relay = Relay::open();
-    let _controller = Controller::start("interrupted-snapshot", relay.address, Discovery::idle());
+    let _controller = Controller::start("interrupted-snapshot", relay.address, ScriptedDiscovery::idle());
     let mut subscription = relay.subscriber();
     // The snapshot is cut after slice 3, before its table entry. If it were taken as complete, the table would seem
     // empty and get a new owner.
-    subscription.send(&(subscription_response() + &proxy_joined(1) + &slice_assigned(3)));
+    subscription.send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_assigned(3)));
     subscription.stream.shutdown(std::net::Shutdown::Both).expect("the connection is open");
     let mut subscription = relay.subscriber();
     relay.assert_no_call_within(Duration::from_millis(700));
     subscription.send(
-        &(subscription_response()
-            + &proxy_joined(1)
-            + &slice_assigned(3)
-            + &table_entry(3, "s-2", 1.0)
-            + PING),
+        &(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_assigned(3) + &table_entry(3, "s-2", 1.0) + PING),
     );
     let (_, call) = relay.caller();
     assert!(
@@ -295,16 +174,16 @@
 #[test]
 fn a_late_old_relay_response_keeps_the_new_subscription() {
     let (old, new) = (Relay::open(), Relay::open());
-    let controller = Controller::start("late-response", old.address, Discovery::idle());
+    let controller = Controller::start("late-response", old.address, ScriptedDiscovery::idle());
     // The first subscription is pending when the configuration changes; the second one is active before the first one
     // gets its response.
     let mut late = old.subscriber();
-    reload_config(&controller, new.address, Discovery::idle());
+    reload_config(&controller, new.address, ScriptedDiscovery::idle());
     let mut subscription = new.subscriber();
-    subscription.send(&initial_snapshot());
+    subscription.send(&snapshot());
     let (mut caller, call) = new.caller();
     caller.send(&all_accepted(&call));
-    late.send(&(subscription_response() + &proxy_joined(1) + PING));
+    late.send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + PING));
     late.wait_for_close();
     // The new subscription stays open, and its messages take effect.
     subscription.send(&(slice_assigned(5) + &table_entry(5, "s-1", 1.0)));
@@ -319,19 +198,19 @@
 #[test]
 fn two_quick_reloads_leave_one_connection_to_the_last_relay() {
     let relays = [Relay::open(), Relay::open(), Relay::open()];
-    let controller = Controller::start("two-reloads", relays[0].address, Discovery::idle());
+    let controller = Controller::start("two-reloads", relays[0].address, ScriptedDiscovery::idle());
     let mut pending = vec![relays[0].subscriber()];
     // Each reload occurs before the previous subscription got its response.
     for relay in &relays[1..] {
-        reload_config(&controller, relay.address, Discovery::idle());
+        reload_config(&controller, relay.address, ScriptedDiscovery::idle());
         pending.push(relay.subscriber());
     }
     let mut last = pending.pop().expect("there are three subscriptions");
-    last.send(&initial_snapshot());
+    last.send(&snapshot());
     let (mut caller, call) = relays[2].caller();
     caller.send(&all_accepted(&call));
     for mut older in pending {
-        older.send(&initial_snapshot());
+        older.send(&snapshot());
         older.wait_for_close();
     }
     last.send(&(slice_assigned(5) + &table_entry(5, "s-1", 1.0)));
@@ -358,9 +237,9 @@
 #[test]
 fn an_endless_relay_line_counts_as_silence() {
     let relay = Relay::open();
-    let _controller = Controller::start("endless-line", relay.address, Discovery::idle());
+    let _controller = Controller::start("endless-line", relay.address, ScriptedDiscovery::idle());
     let mut subscription = relay.subscriber();
-    subscription.send(&initial_snapshot());
+    subscription.send(&snapshot());
     // The call gets its response, as the controller would also subscribe again without one.
     let (mut caller, call) = relay.caller();
     caller.send(&all_accepted(&call));
@@ -376,45 +255,45 @@
 
 #[test]
 fn an_endless_discovery_page_counts_as_silence() {
-    let (relay, discovery) = (Relay::open(), Discovery::open());
+    let (relay, discovery) = (Relay::open(), ScriptedDiscovery::open());
     let _controller = Controller::start("endless-page", relay.address, discovery.address);
-    let (mut stream, _) = discovery.watch();
+    let mut watch = discovery.watch();
+    watch.send(WATCH_HEAD);
     let writer = std::thread::spawn(move || {
         let started_at = Instant::now();
-        while started_at.elapsed() < 2 * EVENT_TIMEOUT && stream.write_all(b"1\r\n \r\n").is_ok() {
+        while started_at.elapsed() < 2 * EVENT_TIMEOUT && watch.stream.write_all(b"1\r\n \r\n").is_ok() {
             std::thread::sleep(Duration::from_millis(200));
         }
     });
-    assert!(discovery.watch().1.contains("after=41 "));
+    assert!(discovery.watch().request.contains("after=41 "));
     writer.join().expect("the writing thread ends");
 }
 
 #[test]
 fn a_restarted_discovery_is_asked_until_its_list_is_accepted() {
-    let (relay, discovery) = (Relay::open(), Discovery::open());
+    let (relay, discovery) = (Relay::open(), ScriptedDiscovery::open());
     let controller = Controller::start("restarted-discovery", relay.address, discovery.address);
-    let page = |generation: u64, is_complete: bool| {
-        let page = format!("{{\"generation\":{generation},\"reset\":{is_complete},\"instances\":[]}}\n");
-        format!("{:x}\r\n{page}\r\n", page.len())
+    let answer = |watch: &mut Watch, pages: &[(u64, bool)]| {
+        let chunks =
+            pages.iter().map(|(generation, is_complete)| chunk(&page(*generation, *is_complete, &[])));
+        watch.send(&(WATCH_HEAD.to_owned() + &chunks.collect::<String>()));
     };
     // Two pages: the first advances the list; the second is older and follows too soon to be accepted.
-    let (mut stream, request) = discovery.watch();
-    assert!(request.contains("after=41 "), "{request}");
-    stream
-        .write_all((page(60, false) + &page(3, true)).as_bytes())
-        .expect("the controller keeps the connection open");
+    let mut watch = discovery.watch();
+    assert!(watch.request.contains("after=41 "), "{}", watch.request);
+    answer(&mut watch, &[(60, false), (3, true)]);
     let sent_at = Instant::now();
     let after = loop {
-        let (mut stream, request) = discovery.watch();
-        if !request.contains("after=60 ") {
-            break request;
+        let mut watch = discovery.watch();
+        if !watch.request.contains("after=60 ") {
+            break watch.request;
         }
-        assert!(sent_at.elapsed() < EVENT_TIMEOUT, "{request}");
-        stream.write_all(page(3, true).as_bytes()).expect("the controller keeps the connection open");
+        assert!(sent_at.elapsed() < EVENT_TIMEOUT, "{}", watch.request);
+        answer(&mut watch, &[(3, true)]);
         // The controller closes the watch to request the list again, or keeps it open once the list is accepted. In
         // that case the test closes it after 1 s.
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-        let _ = stream.read(&mut [0; 64]);
+        let _ = watch.stream.set_read_timeout(Some(Duration::from_secs(1)));
+        let _ = watch.stream.read(&mut [0; 64]);
     };
     assert!(after.contains("after=3 ") && sent_at.elapsed() > Duration::from_secs(5), "{after}");
     assert!(controller.log_contains("discovery sent an older list than the known one"));
@@ -422,7 +301,7 @@
 
 #[test]
 fn calls_stay_within_the_size_limit_in_a_burst_of_joins() {
-    let (relay, discovery) = (Relay::open(), Discovery::idle());
+    let (relay, discovery) = (Relay::open(), ScriptedDiscovery::idle());
     let (proxies, slices) = (2400, 1300);
     let config_for = |listen| {
         let text = config_text(listen, relay.address, discovery);
@@ -433,7 +312,7 @@
     let joins: String = (0..proxies).map(proxy_joined).collect();
     let tables: String =
         (0..slices).map(|slice| slice_assigned(slice) + &table_entry(slice, "s-1", 1.0)).collect();
-    subscription.send(&(subscription_response() + &joins + &tables + PING));
+    subscription.send(&(SUBSCRIBED.to_owned() + &joins + &tables + PING));
     // All proxies leave, join again and acknowledge a barrier while the first calls are made.
     let leave_and_join = |n: u16| notification("left", &format!("{{\"proxy\":{n}}}")) + &proxy_joined(n);
     let acknowledgement =
@@ -489,7 +368,7 @@
     });
     let mut writer = writer.expect("the writing end was opened");
     starting.signal(libc::SIGTERM);
-    let text = config_text(listen, Relay::open().address, Discovery::idle());
+    let text = config_text(listen, Relay::open().address, ScriptedDiscovery::idle());
     writer.write_all(text.as_bytes()).expect("the controller reads the pipe");
     drop(writer);
     assert_eq!(wait_for_exit(&mut starting).0, Some(0));
--- a/crates/railhub-controller/tests/streams.rs
+++ b/crates/railhub-controller/tests/streams.rs
@@ -1,14 +1,14 @@
 //! Proxy streams that break, that compete for one proxy number, that send invalid messages or that stop reading.
 mod common;
 
-use common::{open_fleet, routes_to, sorted_tables, wait_until, Received, TestProxy, TEST_TIMEOUT};
+use common::{open_fleet, routes_to, sorted_tables, wait_until, Fleet, Received, TestProxy, TEST_TIMEOUT};
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
 use railhub_emulator::endpoint_list::{DRAINING, GONE, READY};
 use railhub_emulator::routing::RoutingState;
 use railhub_proto::{from_proxy, Ack, Delta, HostLoad, LoadReport};
 use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -122,17 +122,23 @@
     wait_until("the rejection is counted", || controller.figures().nacks >= 1);
 }
 
+/// A proxy that excludes host 1 of a fleet, which drains.
+fn connect_until_excluded(fleet: &Fleet, controller: SocketAddr) -> TestProxy {
+    let mut proxy = TestProxy::connect(controller, 0);
+    proxy.apply_until(|routing| routing.tables().len() == 40);
+    fleet.set_phase(1, DRAINING);
+    proxy.apply_until(|routing| routing.excludes(fleet.address(1)));
+    proxy
+}
+
 /// Guards against a readmission in a rejected delta: without another change it was never sent again, so the proxy went on
 /// excluding the host.
 #[test]
 fn rejected_readmission_is_sent_again_without_another_change() {
     let fleet = open_fleet(4, 40);
     let controller = fleet.start();
-    let mut proxy = TestProxy::connect(controller.address, 0);
-    proxy.apply_until(|routing| routing.tables().len() == 40);
-    fleet.set_phase(1, DRAINING);
+    let mut proxy = connect_until_excluded(&fleet, controller.address);
     let draining = fleet.address(1);
-    proxy.apply_until(|routing| routing.excludes(draining));
     fleet.set_phase(1, READY);
     let readmits = |delta: &Delta| {
         let mut exclusions = delta.exclusions.iter();
@@ -154,11 +160,8 @@
 fn exclusions_of_an_earlier_process_end_with_the_snapshot() {
     let fleet = open_fleet(4, 40);
     let controller = fleet.start();
-    let mut proxy = TestProxy::connect(controller.address, 0);
-    proxy.apply_until(|routing| routing.tables().len() == 40);
-    fleet.set_phase(1, DRAINING);
+    let proxy = connect_until_excluded(&fleet, controller.address);
     let draining = fleet.address(1);
-    proxy.apply_until(|routing| routing.excludes(draining));
     fleet.set_phase(1, GONE);
     drop(controller);
     let restarted = fleet.start();
