Print reports and end checks of commands in one place

What callers saw: nothing; output and exit codes are as before. Five commands had the same lines that print a report as JSON or text, seven the same that end with `CheckFailed`.

Change: `report_output.rs` has both.

--- a/crates/railhub-cli/src/chaos.rs
+++ b/crates/railhub-cli/src/chaos.rs
@@ -1,5 +1,6 @@
 //! `railhub chaos`: controllers that share slices, under faults that are drawn from seeds or listed in a file. This
 //! module judges leases in simulated time; [`crate::chaos_leases`] and [`crate::chaos_view`] have the other modes.
+use crate::report_output::{check_result, print_report};
 use crate::runs::{core_count, quantile, run_seeds};
 use crate::CommandError;
 use clap::{Args, ValueEnum};
@@ -176,16 +177,8 @@
         recovery_p99: percentile(0.99),
         lease_duration: chaos.lease_duration,
     };
-    if arguments.json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        print!("{}", report_text(&report));
-    }
-    if report.failed_runs == 0 {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    print_report(&report, arguments.json, report_text)?;
+    check_result(report.failed_runs == 0)
 }
 
 /// Plays the run of a seed again and reduces its faults.
--- a/crates/railhub-cli/src/chaos_leases.rs
+++ b/crates/railhub-cli/src/chaos_leases.rs
@@ -1,6 +1,7 @@
 //! `railhub chaos --loopback` for files that judge leases: the faults on real processes, under load.
 use crate::chaos::ChaosArguments;
 use crate::launch::folder_launcher;
+use crate::report_output::{check_result, print_report};
 use crate::runs::{quantile, run_seeds};
 use crate::CommandError;
 use railhub_chaos::cluster_harness::lease_scenario::lease_scenario;
@@ -99,16 +100,8 @@
         }
     }
     let report = summarize(chaos, arguments, &runs, not_played);
-    if arguments.json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        print!("{}", report_text(&report));
-    }
-    if report.failed_runs == 0 && report.not_played.is_empty() {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    print_report(&report, arguments.json, report_text)?;
+    check_result(report.failed_runs == 0 && report.not_played.is_empty())
 }
 
 /// Plays the run of a seed and judges it; keeps its folder if it broke a rule or `--keep` is given.
--- a/crates/railhub-cli/src/chaos_view.rs
+++ b/crates/railhub-cli/src/chaos_view.rs
@@ -1,5 +1,6 @@
 //! `railhub chaos` for files that judge membership views: in simulated time, or on real processes.
 use crate::chaos::{ChaosArguments, SabotageArgument};
+use crate::report_output::{check_result, print_report};
 use crate::runs::{core_count, quantile, run_seeds};
 use crate::CommandError;
 use railhub_chaos::breach::Breach;
@@ -97,16 +98,8 @@
         runs.push(run.map_err(|error| CommandError::Input(format!("seed {seed}: {error}")))?);
     }
     let report = summarize(chaos, arguments, &runs);
-    if arguments.json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        print!("{}", report_text(&report));
-    }
-    if report.failed_runs == 0 {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    print_report(&report, arguments.json, report_text)?;
+    check_result(report.failed_runs == 0)
 }
 
 /// What is known of one run.
--- a/crates/railhub-cli/src/fleet.rs
+++ b/crates/railhub-cli/src/fleet.rs
@@ -1,6 +1,7 @@
 //! `railhub fleet view|watch`: the membership views of all controllers, side by side. The command is an observer: it
 //! sends no gossip, and no controller counts it as a member.
 use crate::fleet_shares::{DrainArguments, SlicesArguments};
+use crate::report_output::{check_result, print_report};
 use crate::CommandError;
 use clap::{Args, Subcommand};
 use railhub_controller::membership::MembershipSettings;
@@ -156,14 +157,10 @@
     let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
     loop {
         let report = query_fleet(&socket, &settings, &arguments.at);
-        if arguments.json {
-            println!("{}", serde_json::to_string(&report)?);
-        } else {
-            print!("{}", report_text(&report));
-        }
+        print_report(&report, arguments.json, report_text)?;
         remaining -= 1;
         if remaining == 0 {
-            return if report.views_agree { Ok(()) } else { Err(CommandError::CheckFailed) };
+            return check_result(report.views_agree);
         }
         std::thread::sleep(Duration::from_secs_f64(
             arguments.every.clamp(MIN_WATCH_INTERVAL, MAX_WATCH_INTERVAL),
--- a/crates/railhub-cli/src/main.rs
+++ b/crates/railhub-cli/src/main.rs
@@ -12,6 +12,7 @@
 mod launch;
 mod logs;
 mod model;
+mod report_output;
 mod runs;
 mod scenario;
 mod standin;
--- a/crates/railhub-cli/src/model.rs
+++ b/crates/railhub-cli/src/model.rs
@@ -1,4 +1,5 @@
 //! `railhub model`: runs a scenario in simulated time.
+use crate::report_output::check_result;
 use crate::scenario::{finish, RunInfo};
 use crate::CommandError;
 use clap::{Args, Subcommand, ValueEnum};
@@ -127,11 +128,7 @@
             println!("rules BROKEN in {} runs", prediction.runs_with_broken_rules);
         }
     }
-    if prediction.runs_with_broken_rules == 0 {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    check_result(prediction.runs_with_broken_rules == 0)
 }
 
 /// Reads the latencies of a machine from an INI file with a `[physics]` section.
--- a/crates/railhub-cli/src/scenario.rs
+++ b/crates/railhub-cli/src/scenario.rs
@@ -1,5 +1,6 @@
 //! `railhub scenario`, `railhub report` and `railhub check`: runs a scenario on loopback, and reports on recordings.
 use crate::launch::process_launcher;
+use crate::report_output::{check_result, print_report};
 use crate::{CommandError, LogFormat};
 use clap::{Args, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -195,24 +196,12 @@
         print!("{}", report_text(&report));
         print!("{}", format_changes(&changes));
     }
-    if report.rules_kept {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    check_result(report.rules_kept)
 }
 
 pub fn check(arguments: &CheckArguments) -> Result<(), CommandError> {
     let rules =
         check_recording(&read(&arguments.record)?).map_err(|error| CommandError::Input(error.to_string()))?;
-    if arguments.json {
-        println!("{}", serde_json::to_string(&rules)?);
-    } else {
-        print!("{}", verdicts_text(&rules));
-    }
-    if rules.iter().all(|verdict| verdict.kept) {
-        Ok(())
-    } else {
-        Err(CommandError::CheckFailed)
-    }
+    print_report(&rules, arguments.json, |rules| verdicts_text(rules))?;
+    check_result(rules.iter().all(|verdict| verdict.kept))
 }
