Keep only excluded hosts in the controller's published state

Since an unknown proxy makes the controller readmit every host, there would be more of them.

Change: `Tables` has the set of excluded hosts.

Evidence: `readmitted_hosts_are_not_kept`; the tests of the package railhub-controller pass.

--- a/crates/railhub-controller/src/tables.rs
+++ b/crates/railhub-controller/src/tables.rs
@@ -19,7 +19,7 @@
     /// Lease epochs of the slices held, if controllers share the slices.
     epochs: BTreeMap<SliceId, u64>,
     admission_rates: BTreeMap<ClassId, ClassAdmission>,
-    exclusions: BTreeMap<HostId, bool>,
+    excluded: BTreeSet<HostId>,
     /// The latest changes, the oldest first; the last one led to the current version.
     log: VecDeque<Arc<Change>>,
     logged_lines: usize,
@@ -83,7 +83,13 @@
             }
         }
         self.admission_rates.extend(&change.admission_rates);
-        self.exclusions.extend(&change.exclusions);
+        for (host, is_excluded) in &change.exclusions {
+            if *is_excluded {
+                self.excluded.insert(*host);
+            } else {
+                self.excluded.remove(host);
+            }
+        }
         self.version += 1;
         self.append_to_log(change);
         self.version
@@ -111,13 +117,12 @@
         for (slice, table) in &self.tables {
             lines.extend(table.iter().map(|(host, weight)| ((*slice, *host), *weight)));
         }
-        let excluded = self.exclusions.iter().filter(|(_, excluded)| **excluded);
         Change {
             reset: true,
             cleared: self.tables.keys().copied().collect(),
             lines,
             admission_rates: self.admission_rates.clone(),
-            exclusions: excluded.map(|(host, excluded)| (*host, *excluded)).collect(),
+            exclusions: self.excluded.iter().map(|host| (*host, true)).collect(),
             assigned_table: None,
             epochs: self.epochs.clone(),
         }
--- a/crates/railhub-controller/src/tables/tests.rs
+++ b/crates/railhub-controller/src/tables/tests.rs
@@ -88,3 +88,13 @@
     assert!(tables.changes_since(tables.version + 1).is_none());
     assert_eq!(tables.changes_since(tables.version), Some(Change::default()));
 }
+
+#[test]
+fn readmitted_hosts_are_not_kept() {
+    let mut tables = Tables::default();
+    let exclusions = |excluded| (0..50).map(|number| (host(number), excluded)).collect();
+    tables.apply(Arc::new(Change { exclusions: exclusions(true), ..Change::default() }));
+    assert_eq!(tables.snapshot().exclusions, exclusions(true));
+    tables.apply(Arc::new(Change { exclusions: exclusions(false), ..Change::default() }));
+    assert!(tables.excluded.is_empty() && tables.snapshot().exclusions.is_empty());
+}
