--- a/src/decision/tests/exclusion_model.rs
+++ b/src/decision/tests/exclusion_model.rs
@@ -51,6 +51,8 @@
     StallChannel { controller: usize },
     /// The channel of a controller accepts the messages that wait, and later ones at once.
     ResumeChannel { controller: usize },
+    /// The messages that wait for the channel of a controller are dropped, and the controller subscribes again.
+    DropWaitingMessages { controller: usize },
     /// The channel of a controller refuses the exclusions and readmissions of the next message.
     RefuseExclusions { controller: usize },
     /// A slice moves to a controller, if that is running.
@@ -75,6 +77,7 @@
         2 => controller().prop_map(|controller| Step::Resubscribe { controller }),
         1 => controller().prop_map(|controller| Step::StallChannel { controller }),
         2 => controller().prop_map(|controller| Step::ResumeChannel { controller }),
+        1 => controller().prop_map(|controller| Step::DropWaitingMessages { controller }),
         1 => controller().prop_map(|controller| Step::RefuseExclusions { controller }),
         1 => (0..SLICES, controller()).prop_map(|(slice, controller)| Step::MoveSlice { slice, controller }),
         6 => (1..40u16).prop_map(|tenths| Step::Wait { tenths }),
@@ -197,6 +200,7 @@
                 let now = self.now;
                 self.controllers[controller].resume_channel(now);
             }
+            Step::DropWaitingMessages { controller } => self.controllers[controller].drop_waiting_messages(),
             Step::RefuseExclusions { controller } => self.controllers[controller].refuses_exclusions = true,
             Step::MoveSlice { slice, controller } => self.move_slice(SliceId(slice), controller),
             Step::Wait { tenths } => self.wait(f64::from(tenths) * STEP_INTERVAL),
@@ -429,6 +433,13 @@
         }
     }
 
+    fn drop_waiting_messages(&mut self) {
+        if !std::mem::take(&mut self.waiting).is_empty() {
+            self.waiting_since = None;
+            self.resubscribe();
+        }
+    }
+
     fn deliver(&mut self, now: Seconds) {
         while self.in_transit.front().is_some_and(|delivery| delivery.arrives_at <= now) {
             let Delivery { proxy, message, .. } = self.in_transit.pop_front().expect("checked above");
