--- a/crates/railhub-adapter/tests/restarts.rs
+++ b/crates/railhub-adapter/tests/restarts.rs
@@ -41,7 +41,7 @@
 /// Guards against review/1 and review/3 on this wire: hosts that an instance had excluded before it was killed stayed
 /// excluded if the list did not name them at its start, or if a new proxy connected first.
 #[test]
-fn exclusions_of_a_killed_instance_end_at_proxies_that_keep_them() {
+fn readmits_hosts_excluded_by_a_killed_instance() {
     let unlisted_at_start = "SUBSCRIBED edge=0 zone=a w=1 on=0".to_owned();
     let new_proxy_first = "SUBSCRIBED edge=1 zone=a w=1 on=1\nSUBSCRIBED edge=0 zone=a w=1 on=0".to_owned();
     for (first_host, streams) in [(2, unlisted_at_start), (1, new_proxy_first)] {
--- a/crates/railhub-cli/src/traffic.rs
+++ b/crates/railhub-cli/src/traffic.rs
@@ -1,4 +1,5 @@
 //! `railhub traffic`: workload traces.
+use crate::report_output::print_report;
 use crate::CommandError;
 use clap::{Args, Subcommand, ValueEnum};
 use railhub_invariants::limits;
@@ -120,11 +121,11 @@
         }
         TrafficCommand::Show { file, json } => {
             let summary = summarize(&load(file)?);
-            print_result(*json, &summary, summary_text)?;
+            print_report(&summary, *json, summary_text)?;
         }
         TrafficCommand::Fit { file, json } => {
             let fitted = fit(&load(file)?);
-            print_result(*json, &fitted, fit_text)?;
+            print_report(&fitted, *json, fit_text)?;
         }
         TrafficCommand::Cut { file, output, from, until, class, zone } => {
             let traffic = load(file)?;
@@ -190,19 +191,6 @@
     names.iter().map(index).collect()
 }
 
-fn print_result<T: serde::Serialize>(
-    json: bool,
-    value: &T,
-    text: fn(&T) -> String,
-) -> Result<(), CommandError> {
-    if json {
-        println!("{}", serde_json::to_string(value)?);
-    } else {
-        print!("{}", text(value));
-    }
-    Ok(())
-}
-
 fn summary_text(summary: &Summary) -> String {
     let mut out =
         format!("{} operations in {:.1} s: {:.1} a second", summary.operations, summary.length, summary.rate);
--- a/src/decision/tests/exclusion.rs
+++ b/src/decision/tests/exclusion.rs
@@ -128,7 +128,7 @@
 /// Guards against the third way of review/REPORT.md: a proxy whose stream was down while a host was readmitted and
 /// forgotten excluded the host when it was listed again.
 #[test]
-fn host_forgotten_while_a_stream_is_down_is_readmitted_when_it_is_listed_again() {
+fn forgotten_host_is_readmitted_after_missed_readmission() {
     for acknowledges in [true, false] {
         let mut controller = controller(ControllerConfig { delisted_may_serve: false, ..config() });
         let mut commands = RecordedCommands::default();
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn host_forgotten_while_all_proxies_are_connected_needs_no_readmission() {
+fn forgotten_host_needs_no_second_readmission() {
     let mut controller = controller(ControllerConfig { delisted_may_serve: false, ..config() });
     let gone = endpoint_update(101.0, vec![entry(4, Phase::Gone, None)]);
     controller.handle_batch(&gone, &mut RecordedCommands::default());
@@ -174,7 +174,7 @@
 /// Guards against a readmission that waited in the channel until its update expired and was then lost: it counted as
 /// received.
 #[test]
-fn readmission_is_repeated_if_its_update_expires_unacknowledged() {
+fn repeats_readmission_of_expired_update() {
     let mut controller = controller(config());
     let mut commands = RecordedCommands::default();
     (0..2).for_each(|_| {
