Drop orders that name an owner once the slice may have been elsewhere

What callers saw: two controllers, one owner a slice. One is cut off from the relay for 6 s; the other gets its slices and names an owner.

Cause: pending commands outlived the knowledge that they were decided on. With one owner a slice a command replaces whatever the store holds, so that comparison always held. A call of unknown outcome was repeated likewise.

Change: a batch says whether the controller hears of all changes (Observation). While it does not, no owner is named, and commands that name one and have not left are dropped. After that each slice is assigned again (SliceAssignment::Retained); an empty table waits as after a hand-over, unless settings.balancers is 1. Pending weights are dropped if the stored table is not the one that they were decided on.

--- a/crates/railhub-adapter/src/events.rs
+++ b/crates/railhub-adapter/src/events.rs
@@ -162,7 +162,9 @@
     let stored = WeightedHost { host: line.host()?, weight: line.non_negative("w")? };
     let latest = batch.assignments.iter_mut().rev().find(|assignment| assignment.slice() == slice);
     match latest {
-        Some(SliceAssignment::Assigned { entries, .. }) => entries.push(stored),
+        Some(SliceAssignment::Assigned { entries, .. } | SliceAssignment::Retained { entries, .. }) => {
+            entries.push(stored);
+        }
         Some(SliceAssignment::Revoked { .. }) => {}
         None => return Err(line.error("sheet", FieldProblem::SliceNotAssigned)),
     }
--- /dev/null
+++ b/crates/railhub-cli/tests/interruptions.rs
@@ -0,0 +1,118 @@
+//! Interruptions of the relay's news at a controller process in platform mode, where a slice has a single owner.
+mod common;
+#[path = "common/scripted.rs"]
+mod scripted;
+
+use common::{eventually, Controller};
+use scripted::{
+    chunk, file_with_hosts, host_list, instance, notification, page, proxy_joined, slice_assigned,
+    slice_with_owner, start_controller, Connection, ScriptedDiscovery, ScriptedRelay, Watch, PING,
+    SUBSCRIBED, WATCH_HEAD,
+};
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+/// Writes to a former owner end within a second: the sum of the lease and the duration of a write.
+const SINGLE_OWNER: &str = r#""exclusive":true,"write_lease_us":500000,"write_life_us":500000"#;
+const WRITES_END_AFTER: Duration = Duration::from_secs(1);
+/// Longer than writes to a former owner, and shorter than the controller waits for a response to a subscription.
+const INTERRUPTION: Duration = Duration::from_millis(1400);
+const CLEARED: &str = r#""table":3,"server":"s-1","weight":0.0"#;
+const NAMED: [&str; 2] =
+    [r#""table":3,"server":"s-2","weight":1.0"#, r#""table":3,"server":"s-3","weight":1.0"#];
+
+/// A controller with its scripted relay and discovery, and three hosts of which s-1 owns slice 3.
+struct Deployment {
+    relay: ScriptedRelay,
+    subscriber: Connection,
+    watch: Watch,
+    _discovery: ScriptedDiscovery,
+    _controller: Controller,
+}
+
+impl Deployment {
+    /// Starts a controller that shares its store with `controllers - 1` others, and has joined `proxies`.
+    fn start(name: &str, controllers: u32, proxies: &str) -> Deployment {
+        let (relay, discovery) = (ScriptedRelay::open(), ScriptedDiscovery::open());
+        let controller = start_controller(name, |listen| {
+            file_with_hosts(listen, relay.address, discovery.address, &host_list(3))
+                .replace("\"exclusive\":false", SINGLE_OWNER)
+                .replace("\"settings\":{", &format!("\"settings\":{{\"balancers\":{controllers},"))
+        });
+        let mut subscriber = relay.subscriber();
+        subscriber.send(&(SUBSCRIBED.to_owned() + proxies + &slice_with_owner(3, "s-1") + PING));
+        let mut watch = discovery.watch();
+        watch.send(WATCH_HEAD);
+        Deployment { relay, subscriber, watch, _discovery: discovery, _controller: controller }
+    }
+
+    /// Lets the owner of slice 3 drain, and waits until its table is cleared. Returns the barrier of that call.
+    fn clear_slice(&mut self) -> u16 {
+        self.watch.send(&chunk(&page(50, false, &[instance("s-1", "draining")])));
+        eventually("the table is cleared", || self.relay.has_call_with(CLEARED));
+        let calls = self.relay.calls.lock().expect("the call log is not poisoned");
+        let call = calls.iter().find(|(_, call)| call.contains(CLEARED)).expect("found above");
+        let ticket = call.1.split("\"ticket\":").nth(1).and_then(|rest| rest.split(',').next());
+        ticket.and_then(|ticket| ticket.parse().ok()).expect("the call has a barrier")
+    }
+
+    fn acknowledge(&mut self, proxy: u16, barrier: u16) {
+        let params = format!(r#"{{"proxy":{proxy},"mark":{barrier},"took_ms":200.0}}"#);
+        self.subscriber.send(&notification("applied", &params));
+    }
+
+    /// Ends the subscription and confirms the next one, whose snapshot has this content.
+    fn renew_subscription(&mut self, pause: Duration, snapshot: &str) {
+        self.subscriber.stream.shutdown(Shutdown::Both).expect("the stream is open");
+        self.subscriber = self.relay.subscriber();
+        std::thread::sleep(pause);
+        self.subscriber.send(&(SUBSCRIBED.to_owned() + snapshot + PING));
+    }
+
+    fn names_owner(&self) -> bool {
+        NAMED.iter().any(|named| self.relay.has_call_with(named))
+    }
+
+    /// Keeps the subscription alive, and asserts that no owner is named meanwhile.
+    fn assert_no_owner_is_named_for(&mut self, duration: Duration) {
+        let started_at = Instant::now();
+        while started_at.elapsed() < duration {
+            self.subscriber.send(PING);
+            std::thread::sleep(Duration::from_millis(100));
+            assert!(!self.names_owner(), "after {:?}", started_at.elapsed());
+        }
+    }
+}
+
+/// Guards against review/6: an owner that was decided before or during an interruption replaced the owner that another
+/// controller had named meanwhile.
+#[test]
+fn an_owner_named_by_another_controller_is_not_replaced() {
+    for owner in ["s-2", "s-3"] {
+        let mut deployment = Deployment::start(&format!("handover-{owner}"), 2, &proxy_joined(1));
+        let barrier = deployment.clear_slice();
+        deployment.acknowledge(1, barrier);
+        let snapshot = proxy_joined(1) + &slice_with_owner(3, owner);
+        // The time of the next owner comes while the relay does not confirm the subscription.
+        deployment.renew_subscription(INTERRUPTION, &snapshot);
+        deployment.assert_no_owner_is_named_for(WRITES_END_AFTER);
+    }
+}
+
+/// Guards against a table that stays empty after an interruption.
+#[test]
+fn a_table_found_empty_after_an_interruption_gets_an_owner() {
+    let mut deployment = Deployment::start("empty-after-interruption", 2, &proxy_joined(1));
+    let barrier = deployment.clear_slice();
+    deployment.renew_subscription(Duration::ZERO, &(proxy_joined(1) + &slice_assigned(3)));
+    let next_barrier = barrier + 1;
+    eventually("a barrier follows", || {
+        deployment.relay.has_call_with(&format!("\"ticket\":{next_barrier},"))
+    });
+    deployment.acknowledge(1, next_barrier);
+    deployment.assert_no_owner_is_named_for(WRITES_END_AFTER / 2);
+    eventually("an owner is named", || {
+        deployment.subscriber.send(PING);
+        deployment.names_owner()
+    });
+}
--- a/crates/railhub-external-engine/src/wire/request.rs
+++ b/crates/railhub-external-engine/src/wire/request.rs
@@ -143,7 +143,7 @@
 
 fn put_assignment(out: &mut String, assignment: &SliceAssignment) {
     match assignment {
-        SliceAssignment::Assigned { slice, entries } => {
+        SliceAssignment::Assigned { slice, entries } | SliceAssignment::Retained { slice, entries } => {
             let _ = writeln!(out, "TENURE sheet={} on=1", slice.0);
             for WeightedHost { host, weight } in entries {
                 let _ = writeln!(out, "STORED_LINE sheet={} host={host} w={weight}", slice.0);
--- a/crates/railhub-platform-net/src/controller_thread.rs
+++ b/crates/railhub-platform-net/src/controller_thread.rs
@@ -201,6 +201,7 @@
             health_checks_dropped: self.health_checker.dropped(),
             health_checks_stale: controller.health_checks_stale(),
             commands_coalesced: controller.commands_coalesced(),
+            commands_discarded: controller.commands_discarded(),
             unnamed_classes: controller.unnamed_classes(),
             timer_lateness: self.timer_lateness.summary(),
             call_latency: self.timing.call_latency(),
--- a/crates/railhub-platform-net/src/status.rs
+++ b/crates/railhub-platform-net/src/status.rs
@@ -40,6 +40,8 @@
     pub health_checks_stale: u64,
     /// Commands that were replaced by a later command about the same target.
     pub commands_coalesced: u64,
+    /// Commands dropped because the table that they were decided on has changed, or may have.
+    pub commands_discarded: u64,
     /// Admission rates that were omitted because the configuration has no name for their class.
     pub unnamed_classes: u64,
     /// Delay of timers after their due time.
--- a/crates/railhub-platform-net/src/status_log.rs
+++ b/crates/railhub-platform-net/src/status_log.rs
@@ -61,6 +61,7 @@
         health_checks_dropped = status.health_checks_dropped,
         health_checks_stale = status.health_checks_stale,
         commands_coalesced = status.commands_coalesced,
+        commands_discarded = status.commands_discarded,
         unnamed_classes = status.unnamed_classes,
         timer_lateness_p99_s = status.timer_lateness.p99,
         timer_lateness_max_s = status.timer_lateness.max,
--- a/crates/railhub-platform/src/call.rs
+++ b/crates/railhub-platform/src/call.rs
@@ -20,7 +20,7 @@
 /// | `InFlight` | it ends without a response | `OutcomeUnknown` |
 /// | `InFlight` | a slice that the call changes is reassigned | `InFlightOutdated` |
 /// | `InFlightOutdated` | it ends, with or without a response | `OutcomeUnknown` |
-/// | `Idle` | a slice that the remaining commands of an ended call change is reassigned | `OutcomeUnknown` |
+/// | `Idle` | a call that names an owner was accepted while no subscription was current | `OutcomeUnknown` |
 /// | `Idle` | too many commands were accepted before a snapshot was complete | `OutcomeUnknown` |
 /// | `InFlightOutdated`, `OutcomeUnknown` | a slice that the call changes is reassigned | same state, newer `latest` |
 /// | `OutcomeUnknown` | a snapshot that was requested later shows the outcome | `Idle` |
@@ -64,6 +64,9 @@
     /// A call that changes a reassigned slice ended: snapshots requested from now on show its effect.
     #[error("a call that changes a reassigned slice ended")]
     OutdatedCallEnded,
+    /// A call that names an owner was accepted while no subscription was current: the slice may have been reassigned.
+    #[error("a call that names an owner ended while no subscription was current")]
+    OwnerNamedUnobserved,
     /// More commands were accepted than are kept while a snapshot is pending.
     #[error("too many commands were accepted before a snapshot was complete")]
     SnapshotTooSlow,
@@ -138,6 +141,11 @@
         }
     }
 
+    /// Whether the relay's state is unknown until a snapshot that has not been requested yet, or not completed.
+    pub(crate) fn requires_snapshot(&self) -> bool {
+        matches!(self.state, CallState::InFlightOutdated { .. } | CallState::OutcomeUnknown { .. })
+    }
+
     /// A snapshot showed the outcome of the call.
     pub(crate) fn on_outcome_known(&mut self) {
         self.state = CallState::Idle;
--- a/crates/railhub-platform/src/command.rs
+++ b/crates/railhub-platform/src/command.rs
@@ -79,6 +79,11 @@
         self.table() == Some(slice)
     }
 
+    /// Whether the command names a host in a table, and does not only remove one.
+    pub(crate) fn names_host(&self) -> bool {
+        matches!(self, Command::SetWeight { entry, .. } if entry.weight > 0.0)
+    }
+
     /// The slice whose table the command changes.
     pub(crate) fn table(&self) -> Option<SliceId> {
         match *self {
--- a/crates/railhub-platform/src/controller.rs
+++ b/crates/railhub-platform/src/controller.rs
@@ -19,11 +19,14 @@
 use crate::effects::{DroppedCommands, Effects};
 use crate::endpoints::EndpointPage;
 use crate::host_directory::{merge_list, HealthCheck, HostDirectory};
+use crate::observation::ObservationTracker;
 use crate::pending_commands::{AcceptedCommands, PendingCommands};
 use crate::relay::{Call, CallResponse, RelayEvent, SubscriptionId};
-use crate::sink::BatchSink;
+use crate::sink::{BatchSink, Notice};
 use crate::slice_assignments::PendingAssignments;
-use crate::snapshot_changes::{assignment_changes, stream_changes, stream_established};
+use crate::snapshot_changes::{
+    assignment_changes, stream_changes, stream_established, tables_changed_elsewhere,
+};
 use crate::subscription::{EventOutcome, Snapshot, Subscription};
 use crate::table::Table;
 use railhub::{
@@ -42,6 +45,7 @@
     batch: PendingBatch,
     timers: Timers,
     subscription: Subscription,
+    observation: ObservationTracker,
     pending_assignments: PendingAssignments,
     hosts: HostDirectory,
     proxies: BTreeSet<ProxyId>,
@@ -51,6 +55,9 @@
     oldest_pending_at: Option<Seconds>,
     call: CallTracker,
     health_checks_stale: u64,
+    commands_discarded: u64,
+    /// What the latest snapshot changed, for the log of the next batch.
+    snapshot_notice: Option<Notice>,
 }
 
 impl PlatformController {
@@ -64,6 +71,7 @@
             batch: PendingBatch { changed: true, ..PendingBatch::default() },
             timers: Timers::default(),
             subscription: Subscription::default(),
+            observation: ObservationTracker::default(),
             pending_assignments: PendingAssignments::default(),
             hosts: HostDirectory::default(),
             proxies: BTreeSet::new(),
@@ -71,6 +79,8 @@
             oldest_pending_at: None,
             call: CallTracker::default(),
             health_checks_stale: 0,
+            commands_discarded: 0,
+            snapshot_notice: None,
         };
         controller.on_endpoint_page(0.0, &config.known_endpoints);
         controller
@@ -109,18 +119,34 @@
     /// A subscription is about to be requested. Must be called before the request is sent.
     pub fn on_subscription_requested(&mut self, id: SubscriptionId) {
         self.subscription.on_requested(id);
+        self.note_interruption();
     }
 
     /// The connection of a subscription ended.
     pub fn on_subscription_ended(&mut self, id: SubscriptionId) {
         self.subscription.on_ended(id);
+        self.note_interruption();
+    }
+
+    /// Whether every change of the relay's state is received, and the effect of every call is known.
+    fn is_observing(&self) -> bool {
+        self.subscription.is_current() && !self.call.requires_snapshot() && !self.commands.overflowed
+    }
+
+    fn note_interruption(&mut self) {
+        if !self.is_observing() {
+            self.observation.on_interrupted();
+        }
     }
 
     /// Handles an event of a subscription. Events of subscriptions older than the newest confirmed one are ignored.
     pub fn on_relay_event(&mut self, now: Seconds, id: SubscriptionId, event: RelayEvent) {
         match self.subscription.on_event(now, id, event) {
             EventOutcome::None => {}
-            EventOutcome::Subscribed => self.call.on_subscribed(id),
+            EventOutcome::Subscribed => {
+                self.call.on_subscribed(id);
+                self.note_interruption();
+            }
             EventOutcome::SnapshotEnded => self.complete_snapshot(),
             EventOutcome::SliceReassigned { slice, assigned } => self.discard_commands(slice, assigned),
             EventOutcome::BarrierAcked(ack) => self.batch.events.barrier_acks.push(ack),
@@ -172,17 +198,33 @@
         self.batch.events.proxy_streams.push(event);
     }
 
-    /// Drops the queued commands for a reassigned slice, which were decided for its previous table. Only a snapshot
-    /// shows whether those of the current call are applied before or after the reassignment.
+    /// Drops the pending commands for a slice, which were decided for another table. Only a snapshot shows whether those
+    /// of a call that may be carried out are applied before or after the reassignment.
     fn discard_commands(&mut self, slice: SliceId, assigned: bool) {
-        let call_changes_slice = self.commands.discard_queued_for(slice);
-        if call_changes_slice && assigned {
+        let is_outdated = |command: &Command| command.changes_table(slice);
+        self.commands_discarded += self.commands.discard_queued(is_outdated) as u64;
+        if self.call.blocker().is_none() {
+            self.commands_discarded += self.commands.discard_in_call(is_outdated) as u64;
+        } else if self.commands.call_contains(is_outdated) && assigned {
             self.require_snapshot(ResubscribeReason::SliceReassigned);
         }
     }
 
+    /// With a single owner, drops the commands that name an owner and that no call carries. They were decided when no
+    /// write to a former owner was in progress, which may be otherwise once changes may have been missed.
+    fn discard_owner_commands(&mut self) {
+        if !self.single_owner {
+            return;
+        }
+        self.commands_discarded += self.commands.discard_queued(Command::names_host) as u64;
+        if self.call.blocker().is_none() {
+            self.commands_discarded += self.commands.discard_in_call(Command::names_host) as u64;
+        }
+    }
+
     fn require_snapshot(&mut self, reason: ResubscribeReason) {
         self.call.require_snapshot(self.subscription.newest_requested(), reason);
+        self.note_interruption();
     }
 
     /// The snapshot is complete: it replaces the known state of proxies and slices.
@@ -203,11 +245,28 @@
     /// each stored table with all pending commands applied.
     fn apply_tables(&mut self, stored: &BTreeMap<SliceId, Table>) {
         let known = self.decisions.assigned_tables().map(|(slice, table)| (slice, table.to_vec())).collect();
-        let mut expected = BTreeMap::new();
-        for (slice, table) in stored {
-            expected.insert(*slice, self.commands.table_when_accepted(*slice, table));
+        let discarded_before = self.commands_discarded;
+        self.discard_owner_commands();
+        let changed = tables_changed_elsewhere(&known, &self.expected_tables(stored));
+        for slice in &changed {
+            self.discard_commands(*slice, true);
         }
-        self.batch.events.assignments.extend(assignment_changes(known, expected));
+        self.note_snapshot(changed.len(), self.commands_discarded - discarded_before);
+        let expected = self.expected_tables(stored);
+        self.batch.events.assignments.extend(assignment_changes(known, expected, self.single_owner));
+    }
+
+    fn note_snapshot(&mut self, tables_changed: usize, commands_discarded: u64) {
+        if tables_changed > 0 || commands_discarded > 0 {
+            self.snapshot_notice = Some(Notice::SnapshotDiffers { tables_changed, commands_discarded });
+        }
+    }
+
+    /// The stored tables with all pending commands applied.
+    fn expected_tables(&self, stored: &BTreeMap<SliceId, Table>) -> BTreeMap<SliceId, Table> {
+        let expected =
+            |(slice, table): (&SliceId, &Table)| (*slice, self.commands.table_when_accepted(*slice, table));
+        stored.iter().map(expected).collect()
     }
 
     /// Determines an unknown outcome of a call from the snapshot being received, if that shows it.
@@ -275,7 +334,8 @@
         let events = self.next_batch(now, expired.iter().map(|timer| timer.id));
         let mut sink = BatchSink::new(&mut self.commands);
         self.decisions.handle_batch(&events, &mut sink);
-        let BatchSink { health_checks, timers, notices, .. } = sink;
+        let BatchSink { health_checks, timers, mut notices, .. } = sink;
+        notices.extend(self.snapshot_notice.take());
         if !self.commands.is_empty() {
             self.oldest_pending_at.get_or_insert(now);
         }
@@ -299,6 +359,8 @@
         }
         let mut events = self.batch.take(now);
         events.timers.extend(expired);
+        events.observation =
+            self.observation.next_batch(self.is_observing(), self.subscription.is_silent(now));
         events.oldest_pending_at = self.oldest_pending_at;
         events
     }
@@ -309,6 +371,9 @@
         if self.call.blocker().is_some() {
             return None;
         }
+        if !self.is_observing() {
+            self.discard_owner_commands();
+        }
         let call = self.commands.next_call(&self.class_names)?;
         self.call.on_sent();
         Some(call)
@@ -330,6 +395,9 @@
             }
             Some(CallResponse::Accepted(count)) => {
                 let AcceptedCommands { accepted, refused } = self.commands.on_accepted(count);
+                if self.single_owner && !self.is_observing() && accepted.iter().any(Command::names_host) {
+                    self.require_snapshot(ResubscribeReason::OwnerNamedUnobserved);
+                }
                 if self.subscription.on_accepted(accepted).is_err() {
                     self.require_snapshot(ResubscribeReason::SnapshotTooSlow);
                 }
@@ -384,6 +452,11 @@
         self.commands.coalesced
     }
 
+    /// Number of commands dropped because the table that they were decided on has changed, or may have.
+    pub fn commands_discarded(&self) -> u64 {
+        self.commands_discarded
+    }
+
     /// Number of admission rates dropped because their class has no name.
     pub fn unnamed_classes(&self) -> u64 {
         self.commands.unnamed_classes
--- a/crates/railhub-platform/src/lib.rs
+++ b/crates/railhub-platform/src/lib.rs
@@ -28,6 +28,7 @@
 mod endpoints;
 mod error;
 mod host_directory;
+mod observation;
 mod pending_commands;
 mod relay;
 mod sink;
--- a/crates/railhub-platform/src/pending_commands.rs
+++ b/crates/railhub-platform/src/pending_commands.rs
@@ -11,7 +11,7 @@
 use crate::table::{has_entry, set_weight, Table};
 use crate::wire::relay::{encode_command, CallEncoder};
 use railhub::{ControllerConfig, SliceId, WeightedHost};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Maximum number of queued commands, reached while the relay is unreachable. Beyond it all of them are dropped and a
 /// new snapshot is requested.
@@ -80,12 +80,26 @@
         }
     }
 
-    /// Drops the queued commands that change a slice's table. Returns whether the current call has such commands: they
-    /// may be applied to the table before or after its reassignment.
-    pub fn discard_queued_for(&mut self, slice: SliceId) -> bool {
-        self.queue.retain(|queued| !queued.command.changes_table(slice));
-        self.newest.retain(|key, _| !matches!(key, CommandKey::Weight(changed, _) if *changed == slice));
-        self.current_call.iter().any(|command| command.changes_table(slice))
+    /// Drops the queued commands that `is_outdated` selects. Returns their number.
+    pub(crate) fn discard_queued(&mut self, is_outdated: impl Fn(&Command) -> bool) -> usize {
+        let before = self.queue.len();
+        self.queue.retain(|queued| !is_outdated(&queued.command));
+        let queued: BTreeSet<u64> = self.queue.iter().map(|queued| queued.sequence).collect();
+        self.newest.retain(|_, sequence| queued.contains(sequence));
+        before - self.queue.len()
+    }
+
+    /// Drops the commands of the current call that `is_outdated` selects. Must not be called while it may be carried
+    /// out. Returns their number.
+    pub(crate) fn discard_in_call(&mut self, is_outdated: impl Fn(&Command) -> bool) -> usize {
+        let before = self.current_call.len();
+        self.current_call.retain(|command| !is_outdated(command));
+        before - self.current_call.len()
+    }
+
+    /// Whether the current call has a command that `is_outdated` selects.
+    pub(crate) fn call_contains(&self, is_outdated: impl Fn(&Command) -> bool) -> bool {
+        self.current_call.iter().any(is_outdated)
     }
 
     /// Number of commands that are queued or in the current call.
--- a/crates/railhub-platform/src/sink.rs
+++ b/crates/railhub-platform/src/sink.rs
@@ -13,6 +13,14 @@
     /// A decision that was made.
     #[error("{0}")]
     Decision(DecisionEvent),
+    /// A snapshot replaced state that decisions were based on.
+    #[error("snapshot differs from known state tables_changed={tables_changed} commands_discarded={commands_discarded}")]
+    SnapshotDiffers {
+        /// Tables that are neither as last published nor a result of the pending commands.
+        tables_changed: usize,
+        /// Commands dropped because the table that they were decided on has changed, or may have.
+        commands_discarded: u64,
+    },
     /// The protocol has no command that assigns a table to a proxy. The decision logic issues it only if the key space
     /// is not sliced.
     #[error("cannot assign a table to a proxy on the platform table={} proxy={}", table.0, proxy.0)]
--- a/crates/railhub-platform/src/slice_assignments.rs
+++ b/crates/railhub-platform/src/slice_assignments.rs
@@ -39,7 +39,9 @@
         let candidates = batched.iter_mut().chain(&mut self.assignments);
         match candidates.filter(|assignment| assignment.slice() == slice).last() {
             Some(SliceAssignment::Revoked { .. }) => {}
-            Some(SliceAssignment::Assigned { entries, .. }) => add_entry(entries, entry, single_owner),
+            Some(SliceAssignment::Assigned { entries, .. } | SliceAssignment::Retained { entries, .. }) => {
+                add_entry(entries, entry, single_owner);
+            }
             None => {
                 if let Some(mut entries) = known_table() {
                     add_entry(&mut entries, entry, single_owner);
--- a/crates/railhub-platform/src/snapshot_changes.rs
+++ b/crates/railhub-platform/src/snapshot_changes.rs
@@ -24,15 +24,30 @@
     disconnected.chain(connected).collect()
 }
 
-/// Assigns the slices whose table differs from the known one, then revokes the known slices that are missing.
+/// The known slices whose stored table is neither the known one, which the pending commands were decided on, nor a
+/// result of those commands. `expected` has the stored tables with the pending commands applied.
+pub(crate) fn tables_changed_elsewhere(
+    known: &BTreeMap<SliceId, Table>,
+    expected: &BTreeMap<SliceId, Table>,
+) -> Vec<SliceId> {
+    let is_changed =
+        |slice: &SliceId, table: &Table| known.get(slice).is_some_and(|known| !tables_match(known, table));
+    expected.iter().filter(|(slice, table)| is_changed(slice, table)).map(|(slice, _)| *slice).collect()
+}
+
+/// Assigns the slices of a snapshot, then revokes the known slices that are missing. With a single owner all of them
+/// are assigned, as another controller may have had them meanwhile; otherwise those whose table differs.
 pub(crate) fn assignment_changes(
     mut known: BTreeMap<SliceId, Table>,
     expected: BTreeMap<SliceId, Table>,
+    single_owner: bool,
 ) -> Vec<SliceAssignment> {
     let mut changes = Vec::new();
     for (slice, entries) in expected {
-        let is_unchanged = known.remove(&slice).is_some_and(|table| tables_match(&table, &entries));
-        if !is_unchanged {
+        let former = known.remove(&slice);
+        if single_owner && former.is_some() {
+            changes.push(SliceAssignment::Retained { slice, entries });
+        } else if !former.is_some_and(|table| tables_match(&table, &entries)) {
             changes.push(SliceAssignment::Assigned { slice, entries });
         }
     }
--- a/crates/railhub-platform/src/subscription.rs
+++ b/crates/railhub-platform/src/subscription.rs
@@ -16,6 +16,8 @@
 const SNAPSHOT_IDLE_TIMEOUT: Seconds = 1.5;
 /// Time without an event after which the tables received so far count as complete, to determine the outcome of a call.
 const TABLES_IDLE_TIMEOUT: Seconds = 0.1;
+/// Time without an event after which the news of a subscription may be late: a heartbeat is due each second.
+const NEWS_TIMEOUT: Seconds = 1.5;
 /// Maximum number of accepted commands kept while a snapshot is pending. Beyond it a new subscription is needed.
 const MAX_ACCEPTED_SINCE_SNAPSHOT: usize = 20_000;
 
@@ -91,6 +93,10 @@
     state: State,
     /// The newest confirmed subscription. Events of others are ignored.
     current: SubscriptionId,
+    /// Whether the connection of the current subscription has ended.
+    has_current_ended: bool,
+    /// When the current subscription last received an event.
+    last_event_at: Seconds,
     /// The newest subscription that was requested.
     newest_requested: SubscriptionId,
     /// Requested subscriptions whose connection has not ended and whose snapshot is not complete.
@@ -105,6 +111,18 @@
         matches!(self.state, State::Synchronized | State::ReceivingSnapshot(_))
     }
 
+    /// Whether every change of the relay's state is received as an event: the snapshot is complete, its connection is
+    /// open, and no configuration with another relay has been read since.
+    pub(crate) fn is_current(&self) -> bool {
+        let is_superseded = self.newest_requested.config_version > self.current.config_version;
+        matches!(self.state, State::Synchronized) && !self.has_current_ended && !is_superseded
+    }
+
+    /// Whether the current subscription has received no event for so long that its news may be late.
+    pub(crate) fn is_silent(&self, now: Seconds) -> bool {
+        now - self.last_event_at >= NEWS_TIMEOUT
+    }
+
     /// The newest subscription that was requested.
     pub(crate) fn newest_requested(&self) -> SubscriptionId {
         self.newest_requested
@@ -121,6 +139,7 @@
         if self.snapshot().is_some_and(|snapshot| snapshot.subscription == id) {
             self.take_snapshot();
         }
+        self.has_current_ended |= id == self.current;
         self.snapshots_pending.remove(&id);
         self.discard_accepted_unless_pending();
     }
@@ -133,6 +152,7 @@
         if id != self.current {
             return EventOutcome::None;
         }
+        self.last_event_at = now;
         let Some(snapshot) = self.snapshot_mut() else { return EventOutcome::Live(event) };
         if event == RelayEvent::Heartbeat {
             return EventOutcome::SnapshotEnded;
@@ -151,6 +171,8 @@
             return EventOutcome::None;
         }
         self.current = id;
+        self.has_current_ended = false;
+        self.last_event_at = now;
         let snapshot = Snapshot { last_event_at: now, subscription: id, ..Snapshot::default() };
         self.state = if self.may_decide() {
             State::ReceivingSnapshot(snapshot)
--- a/crates/railhub-platform/src/wire/configuration.rs
+++ b/crates/railhub-platform/src/wire/configuration.rs
@@ -30,6 +30,9 @@
 
 #[derive(Deserialize)]
 struct SettingsSection {
+    /// Number of controllers that share the store.
+    #[serde(default)]
+    balancers: Option<u32>,
     ceilings: CeilingsSection,
     family_info: FamilySection,
     host_types: Vec<String>,
@@ -169,6 +172,7 @@
             family.write_life_us,
             "settings.family_info.write_life_us",
         )?,
+        sole_controller: settings.balancers == Some(1),
         health_checks_allowed: ceilings.probes,
         delisted_may_serve: rules.removal_not_binding,
         admission_by_fraction: family.throttle_by == "share",
--- a/crates/railhub-platform/tests/controller/calls.rs
+++ b/crates/railhub-platform/tests/controller/calls.rs
@@ -144,12 +144,6 @@
     }
 }
 
-/// The barrier in a call.
-fn barrier_of(call: &Call) -> BarrierId {
-    let number = text(call).split("\"ticket\":").nth(1).and_then(|rest| rest.split(',').next());
-    BarrierId(number.and_then(|number| number.parse().ok()).expect("a barrier"))
-}
-
 #[test]
 fn proxy_joining_during_a_call_counts_as_a_recipient() {
     // With 35 proxies and a few entries for each, one update fits the backlog limit and two do not.
--- a/crates/railhub-platform/tests/controller/main.rs
+++ b/crates/railhub-platform/tests/controller/main.rs
@@ -1,6 +1,7 @@
 //! The controller with the real decision logic: snapshots, commands, and the outcomes of calls.
 mod calls;
 mod hosts;
+mod interruptions;
 mod pending_commands;
 mod snapshots;
 
@@ -116,6 +117,12 @@
     (controller, call)
 }
 
+/// The barrier in a call.
+fn barrier_of(call: &Call) -> BarrierId {
+    let number = text(call).split("\"ticket\":").nth(1).and_then(|rest| rest.split(',').next());
+    BarrierId(number.and_then(|number| number.parse().ok()).expect("a barrier"))
+}
+
 /// The entry of the standby in the table of slice 3.
 fn standby(weight: f64) -> RelayEvent {
     RelayEvent::StoredEntry { slice: SliceId(3), line: WeightedHost { host: host(2), weight } }
--- a/src/decision/assignment.rs
+++ b/src/decision/assignment.rs
@@ -3,35 +3,66 @@
 //! A slice is assigned with its stored table and without a load report. Until its first report, but for no longer than
 //! `UNREPORTED_TIMEOUT`, its rate is estimated: from the handoff of its former controller, or else as the mean rate of
 //! the reported slices. Without an estimate its owner would appear idle and be given more slices than it can serve.
+//!
+//! After an interruption of the observation, each slice that is still assigned comes with its stored table again
+//! ([`SliceAssignment::Retained`]). The table replaces the one that was known, and the owner that was chosen for it.
 use super::host::Host;
 use super::slice::{Slice, Slices};
+use super::table::tables_match;
 use crate::decaying::DecayingRate;
-use crate::interface::{HostId, Seconds, SliceAssignment, SliceHandoff};
+use crate::interface::{ControllerConfig, HostId, Seconds, SliceAssignment, SliceHandoff, WeightedHost};
 use std::collections::BTreeMap;
 
 /// Seconds for which a slice without a load report is assumed to have its estimated rate.
 pub const UNREPORTED_TIMEOUT: Seconds = 4.0;
 
-/// Applies an assignment to `slices`. `estimated_rate` is the rate of the slice in operations per second. A host that
-/// the stored table names has served before, so it is marked as usable without a health check.
+/// Applies an assignment to `slices`. `estimated_rate` is the rate of the slice in operations per second.
 pub fn apply_assignment(
     now: Seconds,
     assignment: &SliceAssignment,
     estimated_rate: f64,
-    classes: usize,
+    config: &ControllerConfig,
     hosts: &mut BTreeMap<HostId, Host>,
     slices: &mut Slices,
 ) {
-    slices.remove(&assignment.slice());
-    let SliceAssignment::Assigned { slice, entries } = assignment else { return };
+    let former = slices.remove(&assignment.slice());
+    let classes = config.classes.len();
+    let (slice, entries, assigned) = match (assignment, former) {
+        (SliceAssignment::Revoked { .. }, _) => return,
+        (SliceAssignment::Retained { slice, entries }, Some(former)) => {
+            (slice, entries, retained_slice(now, entries, former, config))
+        }
+        (SliceAssignment::Assigned { slice, entries } | SliceAssignment::Retained { slice, entries }, _) => {
+            let stored = Slice::from_stored(now, entries.clone(), classes);
+            (slice, entries, Slice { estimated_rate, ..stored })
+        }
+    };
+    mark_serving_hosts(now, entries, hosts);
+    slices.insert(*slice, assigned);
+}
+
+/// A slice that was known before an interruption of the observation, with its stored table. What other controllers may
+/// have done with it meanwhile is unknown; its demand is not theirs to change.
+fn retained_slice(now: Seconds, entries: &[WeightedHost], former: Slice, config: &ControllerConfig) -> Slice {
+    if config.sole_controller {
+        return Slice { published: entries.to_vec(), ..former };
+    }
+    if tables_match(&former.published, entries) {
+        return Slice { controlled_since: now, writes_end_at: None, ..former };
+    }
+    let Slice { demand, estimated_rate, assigned_at, .. } = former;
+    let stored = Slice::from_stored(now, entries.to_vec(), demand.len());
+    Slice { demand, estimated_rate, assigned_at, ..stored }
+}
+
+/// A host that a stored table names has served before, so it is marked as usable without a health check.
+fn mark_serving_hosts(now: Seconds, entries: &[WeightedHost], hosts: &mut BTreeMap<HostId, Host>) {
     for entry in entries {
         if let Some(host) = hosts.get_mut(&entry.host).filter(|host| host.last_success_at == 0.0) {
             host.is_down = false;
             host.last_success_at = now;
         }
     }
-    let stored = Slice::from_stored(now, entries.clone(), classes);
-    slices.insert(*slice, Slice { estimated_rate, ..stored });
 }
 
 /// The state of a slice for its next controller.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -27,8 +27,9 @@
 mod table;
 
 use crate::interface::{
-    BarrierAck, CommandSink, ControllerConfig, DecisionEvent, EventBatch, HostId, HostLoadReport, Phase,
-    ProxyId, ProxyStreamEvent, Seconds, SliceAssignment, SliceHandoff, SliceId, TimerId, WeightedHost,
+    BarrierAck, CommandSink, ControllerConfig, DecisionEvent, EventBatch, HostId, HostLoadReport,
+    Observation, Phase, ProxyId, ProxyStreamEvent, Seconds, SliceAssignment, SliceHandoff, SliceId, TimerId,
+    WeightedHost,
 };
 use admission::AdmissionControl;
 use assignment::{apply_assignment, apply_handoff, drop_outdated_estimates, handoff, mean_reported_rate};
@@ -61,6 +62,8 @@
     config: ControllerConfig,
     /// Whether it has handled a batch.
     is_started: bool,
+    /// Whether the latest batch contained every change of proxy streams and slice assignments.
+    is_observing: bool,
     hosts: BTreeMap<HostId, Host>,
     slices: Slices,
     /// When it was last assigned a slice while it had none.
@@ -152,6 +155,7 @@
             self.last_disconnect_at = batch.now;
         }
         self.is_started = true;
+        self.is_observing = batch.observation != Observation::Interrupted;
         is_first || !batch.timers.is_empty()
     }
 
@@ -210,6 +214,7 @@
         let state = PublishState {
             now,
             is_tick,
+            is_observing: self.is_observing,
             config: &self.config,
             proxies: &self.proxies,
             hosts: &self.hosts,
@@ -246,13 +251,15 @@
     /// Applies assigned and revoked slices.
     fn apply_assignments(&mut self, now: Seconds, assignments: &[SliceAssignment]) {
         let estimated_rate = if assignments.is_empty() { 0.0 } else { mean_reported_rate(&self.slices) };
-        let classes = self.config.classes.len();
         for assignment in assignments {
             if self.slices.is_empty() {
                 self.first_assigned_at = now;
             }
-            self.publisher.backlog.forget_slice(assignment.slice());
-            apply_assignment(now, assignment, estimated_rate, classes, &mut self.hosts, &mut self.slices);
+            if !single_owner::is_table_history_known(&self.config, &self.slices, assignment) {
+                self.publisher.backlog.forget_slice(assignment.slice());
+            }
+            let (hosts, slices) = (&mut self.hosts, &mut self.slices);
+            apply_assignment(now, assignment, estimated_rate, &self.config, hosts, slices);
         }
     }
 
--- a/src/decision/publish.rs
+++ b/src/decision/publish.rs
@@ -60,6 +60,7 @@
 pub struct PublishState<'a> {
     pub now: Seconds,
     pub is_tick: bool,
+    pub is_observing: bool,
     pub config: &'a ControllerConfig,
     pub proxies: &'a BTreeSet<ProxyId>,
     pub hosts: &'a BTreeMap<HostId, Host>,
@@ -236,7 +237,8 @@
     let mut pending = Vec::new();
     for (id, slice) in state.slices.iter() {
         let table = desired_table(slice.owner, slice.standby, state.config.single_owner);
-        let may_publish = !state.config.single_owner || single_owner::may_publish(state.now, slice);
+        let may_publish =
+            !state.config.single_owner || single_owner::may_publish(state.now, state.is_observing, slice);
         if table != slice.published && may_publish {
             let urgency = urgency(&slice.published, slice.owner, is_usable);
             pending.push(PendingWrite { slice: *id, urgency, table });
--- a/src/decision/single_owner.rs
+++ b/src/decision/single_owner.rs
@@ -5,14 +5,33 @@
 //! proxies have acknowledged the cleared table, proxies that disconnected earlier write for `write_lease` at most, and
 //! the last write takes up to `max_write_duration`. A table that was stored empty may just have been cleared by another
 //! controller: it waits for the acknowledgement of a barrier and then for the same time.
+//!
+//! While the observation is interrupted ([`crate::interface::Observation`]), the slice may have been assigned to another
+//! controller that names an owner, so none is named here. After that, an empty table may again have just been cleared
+//! by another controller, unless there is none.
 use super::slice::{Slice, Slices};
-use crate::interface::{ControllerConfig, Seconds, SliceId};
+use super::table::tables_match;
+use crate::interface::{ControllerConfig, Seconds, SliceAssignment, SliceId};
 use crate::update_backlog::Update;
 use std::collections::BTreeSet;
 
-/// Whether the table of a slice may be published: it names its owner, or no write to a former owner is in progress.
-pub fn may_publish(now: Seconds, slice: &Slice) -> bool {
-    !slice.published.is_empty() || slice.writes_end_at.is_some_and(|at| at <= now)
+/// Whether the table of a slice may be published. A table that names an owner is cleared, which changes no other table:
+/// that needs no wait. An owner is named only if no write to a former one is in progress, and while this controller
+/// would hear of it if the slice were assigned elsewhere.
+pub fn may_publish(now: Seconds, is_observing: bool, slice: &Slice) -> bool {
+    let names_owner = !slice.published.is_empty();
+    names_owner || (is_observing && slice.writes_end_at.is_some_and(|at| at <= now))
+}
+
+/// Whether no other controller can have changed the table of the assigned slice since this one published it.
+pub fn is_table_history_known(
+    config: &ControllerConfig,
+    slices: &Slices,
+    assignment: &SliceAssignment,
+) -> bool {
+    let SliceAssignment::Retained { slice, entries } = assignment else { return false };
+    let is_as_published = |slice: &Slice| tables_match(&slice.published, entries);
+    config.sole_controller && slices.get(slice).is_some_and(is_as_published)
 }
 
 /// Applies acknowledged updates: all connected proxies have cleared the tables of the updates' `cleared_slices`.
@@ -25,7 +44,8 @@
 ) {
     for id in acknowledged.iter().flat_map(|update| &update.cleared_slices) {
         if let Some(slice) = slices.get_mut(id) {
-            slice.writes_end_at = Some(writes_end_at(now, last_disconnect_at, slice.assigned_at, config));
+            slice.writes_end_at =
+                Some(writes_end_at(now, last_disconnect_at, slice.controlled_since, config));
         }
     }
 }
@@ -34,10 +54,10 @@
 fn writes_end_at(
     now: Seconds,
     last_disconnect_at: Seconds,
-    assigned_at: Seconds,
+    controlled_since: Seconds,
     config: &ControllerConfig,
 ) -> Seconds {
-    let last_write_starts = now.max(last_disconnect_at.max(assigned_at) + config.write_lease);
+    let last_write_starts = now.max(last_disconnect_at.max(controlled_since) + config.write_lease);
     last_write_starts + config.max_write_duration
 }
 
--- a/src/decision/table.rs
+++ b/src/decision/table.rs
@@ -51,6 +51,11 @@
     }
 }
 
+/// Whether two tables have the same entries, apart from the rounding of weights by the store.
+pub fn tables_match(first: &[WeightedHost], second: &[WeightedHost]) -> bool {
+    changes(first, second).is_empty()
+}
+
 /// The lines that turn the published table into the desired one. New hosts come first, so that the table is never empty
 /// in between. The store may have rounded the weights, that of a standby to 0; such differences are ignored.
 pub fn changes(published: &[WeightedHost], desired: &[WeightedHost]) -> Vec<WeightedHost> {
--- a/src/interface/config.rs
+++ b/src/interface/config.rs
@@ -38,6 +38,8 @@
     pub write_lease: Seconds,
     /// Longest duration of a write, in seconds (`single_owner`).
     pub max_write_duration: Seconds,
+    /// No other controller changes the tables of the store.
+    pub sole_controller: bool,
     /// The controller may request health checks of hosts.
     pub health_checks_allowed: bool,
     /// A host that is missing from a complete endpoint list, or listed as gone, may stay in service.
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -76,6 +76,14 @@
         /// The hosts of its table, as stored.
         entries: Vec<WeightedHost>,
     },
+    /// The slice was assigned to this controller before an interruption of its observation ([`Observation`]) and is
+    /// assigned to it now, with its stored table. Another controller may have had it in between.
+    Retained {
+        /// The slice.
+        slice: SliceId,
+        /// The hosts of its table, as stored.
+        entries: Vec<WeightedHost>,
+    },
     /// The slice is no longer assigned to this controller.
     Revoked {
         /// The slice.
@@ -87,11 +95,26 @@
     /// The slice that was assigned or revoked.
     pub fn slice(&self) -> SliceId {
         match self {
-            SliceAssignment::Assigned { slice, .. } | SliceAssignment::Revoked { slice } => *slice,
+            SliceAssignment::Assigned { slice, .. }
+            | SliceAssignment::Retained { slice, .. }
+            | SliceAssignment::Revoked { slice } => *slice,
         }
     }
 }
 
+/// Whether a controller hears of the changes of proxy streams and slice assignments.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Observation {
+    /// It has heard of every change up to this batch.
+    #[default]
+    Complete,
+    /// There may be changes that it has not heard of yet, for example because its subscription is down.
+    Interrupted,
+    /// It was interrupted, and this batch brings the present state. What happened and was undone in between stays
+    /// unknown: a proxy may have connected and disconnected, a slice may have been assigned elsewhere and returned.
+    Resumed,
+}
+
 /// The state of a slice that its former controller hands to the next one, which cannot learn it from endpoint lists and
 /// load reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -200,6 +223,8 @@
     pub undelivered_exclusions: Vec<UndeliveredExclusion>,
     /// Timers that have expired.
     pub timers: Vec<TimerId>,
+    /// Whether the batch and those before it contain every change of proxy streams and slice assignments.
+    pub observation: Observation,
     /// When the oldest commands that the channel has not accepted yet were issued; `None` if it has accepted all. A
     /// proxy that connects now may receive the pending commands too.
     pub oldest_pending_at: Option<Seconds>,
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -10,7 +10,7 @@
 pub use config::{ClassConfig, ControllerConfig, Idempotency};
 pub use events::{
     BarrierAck, EndpointEntry, EndpointList, EventBatch, HealthCheckOutcome, HealthCheckResult,
-    HostLoadReport, Phase, ProxyStreamEvent, SliceAssignment, SliceHandoff, SliceLoadReport,
+    HostLoadReport, Observation, Phase, ProxyStreamEvent, SliceAssignment, SliceHandoff, SliceLoadReport,
     UndeliveredExclusion,
 };
 pub use ids::{BarrierId, ClassId, HostId, HostKindId, ProxyId, SliceId, TimerId, WeightedHost, ZoneId};
