Count an interruption as the disconnection of proxies that nobody saw

What callers saw: one controller, one owner a slice. A proxy's stream returns while the controller is cut off from the relay, the proxy reads the store, and its stream breaks again.

Cause: the lease of a proxy that left was counted from the last disconnection that the controller heard of.

Change: the batch that ends an interruption counts as a disconnection, as the start does. A proxy that connects before the first acknowledgement of an update that clears tables is awaited, as it may have read the store before; acknowledgements during an interruption, and updates without recipients, confirm nothing.

--- a/crates/railhub-cli/tests/interruptions.rs
+++ b/crates/railhub-cli/tests/interruptions.rs
@@ -116,3 +116,19 @@
         deployment.names_owner()
     });
 }
+
+/// Guards against review/7: a proxy whose stream came and went while the news was interrupted may still write to the
+/// former owner, so the next one is named only after its lease and its last write.
+#[test]
+fn a_proxy_that_came_and_went_unseen_keeps_its_lease() {
+    let mut deployment = Deployment::start("unseen-proxy", 1, &proxy_joined(1));
+    deployment.renew_subscription(Duration::ZERO, &(proxy_joined(1) + &slice_with_owner(3, "s-1")));
+    let resumed_at = Instant::now();
+    let barrier = deployment.clear_slice();
+    deployment.acknowledge(1, barrier);
+    deployment.assert_no_owner_is_named_for(WRITES_END_AFTER.saturating_sub(resumed_at.elapsed()));
+    eventually("an owner is named", || {
+        deployment.subscriber.send(PING);
+        deployment.names_owner()
+    });
+}
--- a/crates/railhub-platform/tests/controller/interruptions.rs
+++ b/crates/railhub-platform/tests/controller/interruptions.rs
@@ -165,3 +165,35 @@
     assert!(!before_decision
         .is_some_and(|call| text(&call).contains("\"table\":3,\"server\":\"s-2\",\"weight\":0.0001")));
 }
+
+/// Guards against review/7: a proxy whose stream came and went between two snapshots may still write to the former
+/// owner.
+#[test]
+fn proxy_that_came_and_went_between_two_snapshots_keeps_its_lease() {
+    let config = single_owner_config(1);
+    let mut controller = TestController::new(&config);
+    let snapshot = [joined(1), assigned(3), stored(3, 1)];
+    send_snapshot(&mut controller, START, &snapshot);
+    accept_all_calls(&mut controller, START);
+    let subscription = controller.subscription;
+    controller.on_subscription_ended(subscription);
+    run(&mut controller, START + 10.0, START + 16.0);
+    send_snapshot(&mut controller, START + 16.0, &snapshot);
+    controller.on_endpoint_page(START + 16.0, &list_with_draining_host(&config));
+    controller.poll(START + 16.1);
+    let mut named_at = None;
+    for step in 0..70 {
+        let now = START + 16.1 + f64::from(step) / 10.0;
+        controller.on_relay_event(now, RelayEvent::Heartbeat);
+        controller.poll(now);
+        while let Some(call) = controller.next_call() {
+            controller.on_call_ended(Some(CallResponse::Accepted(call.commands)));
+            acknowledge(&mut controller, now, &call);
+            if names_owner(text(&call)) {
+                named_at.get_or_insert(now - START - 16.0);
+            }
+        }
+    }
+    let named_at = named_at.expect("an owner is named");
+    assert!((WRITES_END_AFTER..WRITES_END_AFTER + 1.2).contains(&named_at), "{named_at}");
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -70,7 +70,8 @@
     first_assigned_at: Seconds,
     /// Connected proxies.
     proxies: BTreeSet<ProxyId>,
-    /// When a proxy last disconnected: it may continue to write according to the tables that it has.
+    /// When a proxy last disconnected, or may have done so unseen: it may continue to write according to the tables that
+    /// it has.
     last_disconnect_at: Seconds,
     /// The host that is ejected as the outlier.
     ejected_outlier: Option<HostId>,
@@ -126,7 +127,7 @@
             hosts_went_down |= apply_health_check(now, result, &mut self.hosts, commands);
         }
         for event in &batch.proxy_streams {
-            self.apply_proxy_stream(now, event, batch.oldest_pending_at);
+            self.apply_proxy_stream(event, batch);
         }
         for ack in &batch.barrier_acks {
             self.apply_barrier_ack(now, ack);
@@ -150,8 +151,9 @@
     /// Returns whether the batch is a tick: the first batch is, and every batch with an expired timer.
     fn start_batch(&mut self, batch: &EventBatch) -> bool {
         let is_first = !self.is_started;
-        // Proxies that were connected before a restart of the controller may still write according to their old tables.
-        if is_first {
+        // Proxies that this controller never met, or that connected and disconnected unseen, may still write according to
+        // the tables that they have.
+        if is_first || batch.observation == Observation::Resumed {
             self.last_disconnect_at = batch.now;
         }
         self.is_started = true;
@@ -279,17 +281,11 @@
     }
 
     /// Updates the set of connected proxies, and the exclusions and the backlog accordingly.
-    fn apply_proxy_stream(
-        &mut self,
-        now: Seconds,
-        event: &ProxyStreamEvent,
-        oldest_pending_at: Option<Seconds>,
-    ) {
+    fn apply_proxy_stream(&mut self, event: &ProxyStreamEvent, batch: &EventBatch) {
         let proxy = event.proxy();
         if !event.is_connected() {
-            if self.proxies.remove(&proxy) {
-                self.last_disconnect_at = now;
-            }
+            self.last_disconnect_at = batch.now;
+            self.proxies.remove(&proxy);
             self.publisher.backlog.remove_proxy(proxy);
             return;
         }
@@ -299,7 +295,8 @@
             // A stream that is reported again may have ended and been established again unnoticed.
             _ => self.exclusions.on_returning_proxy(proxy),
         }
-        self.publisher.on_connected(proxy, was_connected, oldest_pending_at);
+        self.publisher.on_connected(proxy, was_connected, batch.oldest_pending_at);
+        self.publisher.await_cleared_tables(proxy, batch.observation);
     }
 
     fn apply_barrier_ack(&mut self, now: Seconds, ack: &BarrierAck) {
@@ -310,8 +307,17 @@
     /// Removes the updates that all recipients have acknowledged from the backlog, and applies their effect.
     fn apply_acknowledged_updates(&mut self, now: Seconds) {
         let updates = self.publisher.backlog.take_acknowledged();
-        let last_disconnect_at = self.last_disconnect_at;
-        single_owner::apply_acknowledged(now, &updates, last_disconnect_at, &self.config, &mut self.slices);
+        // A proxy that connected unseen has not been asked.
+        if self.is_observing {
+            let last_disconnect_at = self.last_disconnect_at;
+            single_owner::apply_acknowledged(
+                now,
+                &updates,
+                last_disconnect_at,
+                &self.config,
+                &mut self.slices,
+            );
+        }
         self.exclusions.apply_acknowledged(self.publisher.backlog.oldest_sent_at(), &self.proxies);
     }
 }
--- a/src/decision/publish.rs
+++ b/src/decision/publish.rs
@@ -21,7 +21,9 @@
 use super::single_owner;
 use super::slice::Slices;
 use super::table::{changes, desired_table, urgency, Urgency};
-use crate::interface::{BarrierId, ClassId, CommandSink, ControllerConfig, DecisionEvent, HostId, ProxyId};
+use crate::interface::{
+    BarrierId, ClassId, CommandSink, ControllerConfig, DecisionEvent, HostId, Observation, ProxyId,
+};
 use crate::interface::{RetryPolicy, Seconds, SliceId, WeightedHost};
 use crate::update_backlog::{Update, UpdateBacklog};
 use std::collections::{BTreeMap, BTreeSet};
@@ -133,6 +135,14 @@
         }
     }
 
+    /// Makes a proxy that connected acknowledge the updates that clear tables, if it may have read the store before they
+    /// were carried out. It has not if a proxy acknowledged the update before, as events arrive in order; but it may
+    /// have connected at any time if the observation was interrupted.
+    pub fn await_cleared_tables(&mut self, proxy: ProxyId, observation: Observation) {
+        let is_order_known = observation == Observation::Complete;
+        self.barrier_due |= self.backlog.await_cleared_tables(proxy, is_order_known);
+    }
+
     /// Publishes the differences from the published state, as far as the message quota and the backlog allow.
     pub fn publish(&mut self, mut state: PublishState, commands: &mut impl CommandSink) {
         let tables = pending_writes(&state);
--- a/src/decision/single_owner.rs
+++ b/src/decision/single_owner.rs
@@ -34,7 +34,8 @@
     config.sole_controller && slices.get(slice).is_some_and(is_as_published)
 }
 
-/// Applies acknowledged updates: all connected proxies have cleared the tables of the updates' `cleared_slices`.
+/// Applies acknowledged updates: all connected proxies have cleared the tables of the updates' `cleared_slices`. An
+/// update without recipients shows nothing, not even that it was carried out before the next proxy connects.
 pub fn apply_acknowledged(
     now: Seconds,
     acknowledged: &[Update],
@@ -42,7 +43,8 @@
     config: &ControllerConfig,
     slices: &mut Slices,
 ) {
-    for id in acknowledged.iter().flat_map(|update| &update.cleared_slices) {
+    let received = acknowledged.iter().filter(|update| !update.recipients.is_empty());
+    for id in received.flat_map(|update| &update.cleared_slices) {
         if let Some(slice) = slices.get_mut(id) {
             slice.writes_end_at =
                 Some(writes_end_at(now, last_disconnect_at, slice.controlled_since, config));
--- a/src/decision/tests/single_owner.rs
+++ b/src/decision/tests/single_owner.rs
@@ -78,3 +78,94 @@
     (151..175).for_each(|now| controller.handle_batch(&tick(f64::from(now)), &mut commands));
     assert_eq!((commands.lines.len(), commands.barriers.len()), (0, 2));
 }
+
+fn connected(now: Seconds, proxy: u16) -> EventBatch {
+    EventBatch { proxy_streams: vec![ProxyStreamEvent::Connected(ProxyId(proxy))], ..tick(now) }
+}
+
+/// A controller that clears the tables of host 1 at second 120, and the barrier of that update.
+fn with_cleared_tables() -> (Controller, BarrierId) {
+    let mut controller = controller(ControllerConfig { single_owner: true, ..config() });
+    (controller.last_disconnect_at, controller.is_observing) = (0.0, true);
+    let barrier = clear_tables(&mut controller, 120.0);
+    (controller, barrier)
+}
+
+fn clear_tables(controller: &mut Controller, now: Seconds) -> BarrierId {
+    let mut commands = RecordedCommands::default();
+    controller.handle_batch(&endpoint_update(now, vec![entry(1, Phase::Draining, None)]), &mut commands);
+    *commands.barriers.last().expect("a barrier")
+}
+
+/// Handles a batch and returns its last barrier.
+fn barrier_after(controller: &mut Controller, batch: &EventBatch) -> Option<BarrierId> {
+    let mut commands = RecordedCommands::default();
+    controller.handle_batch(batch, &mut commands);
+    assert!(commands.lines.is_empty(), "no owner is named: {:?}", commands.lines);
+    commands.barriers.last().copied()
+}
+
+/// Guards against review/7: a proxy that connected and disconnected while the observation was interrupted went on
+/// writing to the former owner when the next one was named.
+#[test]
+fn next_owner_waits_for_lease_of_proxy_that_was_not_seen() {
+    let mut controller = controller(ControllerConfig { single_owner: true, ..config() });
+    let resumed = EventBatch { observation: Observation::Resumed, ..tick(119.0) };
+    controller.handle_batch(&resumed, &mut RecordedCommands::default());
+    let barrier = clear_tables(&mut controller, 120.0);
+    controller.handle_batch(&acknowledged(121.0, &[0, 1], barrier), &mut RecordedCommands::default());
+    // It disconnected by 119, and may start a write until 123, which ends by 126.
+    assert_eq!(next_owner_published_at(&mut controller, 121.5), 126.5);
+}
+
+/// Guards against a proxy that read the store before the tables were cleared, and whose connection is heard of after
+/// the call was accepted: nobody waited for it.
+#[test]
+fn proxy_that_connects_before_the_first_acknowledgement_is_awaited() {
+    let (mut controller, _) = with_cleared_tables();
+    let next = barrier_after(&mut controller, &connected(120.2, 2)).expect("a barrier for the new proxy");
+    controller.handle_batch(&acknowledged(121.0, &[0, 1], next), &mut RecordedCommands::default());
+    (122..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    controller.handle_batch(&acknowledged(130.0, &[2], next), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 130.5), 133.5);
+}
+
+/// Guards against waits that grow with each proxy that connects: one that connects after an acknowledgement has read the
+/// cleared tables.
+#[test]
+fn proxy_that_connects_after_an_acknowledgement_is_not_awaited() {
+    let (mut controller, barrier) = with_cleared_tables();
+    controller.handle_batch(&acknowledged(121.0, &[0], barrier), &mut RecordedCommands::default());
+    controller.handle_batch(&connected(121.2, 2), &mut RecordedCommands::default());
+    controller.handle_batch(&acknowledged(121.5, &[1], barrier), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 122.0), 125.0);
+}
+
+/// Guards against an acknowledgement that arrives before the snapshot which names a proxy that connected unseen.
+#[test]
+fn acknowledgements_do_not_count_while_proxies_may_be_missing() {
+    let (mut controller, barrier) = with_cleared_tables();
+    let interrupted =
+        EventBatch { observation: Observation::Interrupted, ..acknowledged(121.0, &[0, 1], barrier) };
+    controller.handle_batch(&interrupted, &mut RecordedCommands::default());
+    let resumed = EventBatch { observation: Observation::Resumed, ..connected(121.1, 2) };
+    let next =
+        barrier_after(&mut controller, &resumed).or(Some(BarrierId(barrier.0 + 1))).expect("a barrier");
+    (122..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    controller.handle_batch(&acknowledged(130.0, &[0, 1, 2], next), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 130.5), 133.5);
+}
+
+/// Guards against tables that count as cleared because nobody is there to acknowledge it.
+#[test]
+fn cleared_tables_are_not_confirmed_without_proxies() {
+    let mut controller = controller(ControllerConfig { single_owner: true, ..config() });
+    for proxy in 0..2 {
+        controller.handle_batch(&disconnected(110.0, proxy), &mut RecordedCommands::default());
+    }
+    clear_tables(&mut controller, 120.0);
+    (121..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    let barrier = barrier_after(&mut controller, &connected(130.0, 2)).expect("a barrier");
+    controller.handle_batch(&acknowledged(131.0, &[2], barrier), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 131.5), 134.5);
+}
--- a/src/update_backlog.rs
+++ b/src/update_backlog.rs
@@ -80,6 +80,21 @@
         }
     }
 
+    /// Adds a proxy to the recipients of the updates that clear tables; if `only_unacknowledged`, of those that no proxy
+    /// has acknowledged. Returns whether there are any.
+    pub fn await_cleared_tables(&mut self, proxy: ProxyId, only_unacknowledged: bool) -> bool {
+        let mut is_any_awaited = false;
+        for update in &mut self.updates {
+            let is_unacknowledged = update.awaited.len() == update.recipients.len();
+            if !update.cleared_slices.is_empty() && (is_unacknowledged || !only_unacknowledged) {
+                update.recipients.insert(proxy);
+                update.awaited.insert(proxy);
+                is_any_awaited = true;
+            }
+        }
+        is_any_awaited
+    }
+
     /// Removes a proxy whose stream closed: updates in transit to it are lost and no longer wait.
     pub fn remove_proxy(&mut self, proxy: ProxyId) {
         for update in &mut self.updates {
