--- a/crates/railhub-cli/tests/common/mod.rs
+++ b/crates/railhub-cli/tests/common/mod.rs
@@ -101,7 +101,12 @@
     }
 
     pub fn log_contains(&self, text: &str) -> bool {
-        self.log.lock().expect("the log mutex is not poisoned").contains(text)
+        self.log_count(text) > 0
+    }
+
+    /// How often the log contains this text.
+    pub fn log_count(&self, text: &str) -> usize {
+        self.log.lock().expect("the log mutex is not poisoned").matches(text).count()
     }
 }
 
--- a/crates/railhub-cli/tests/common/scripted.rs
+++ b/crates/railhub-cli/tests/common/scripted.rs
@@ -208,6 +208,8 @@
     pub address: SocketAddr,
     subscribers: Receiver<Connection>,
     pub calls: CallLog,
+    /// The next call that contains this text is refused at its first command.
+    pub refused_text: Arc<Mutex<Option<&'static str>>>,
 }
 
 impl ScriptedRelay {
@@ -216,10 +218,11 @@
         let address = listener.local_addr().expect("the listener is bound");
         let (sender, subscribers) = channel();
         let calls = CallLog::default();
-        let log = calls.clone();
+        let refused_text: Arc<Mutex<Option<&'static str>>> = Arc::default();
+        let (log, refused) = (calls.clone(), refused_text.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (sender, log) = (sender.clone(), log.clone());
+                let (sender, log, refused) = (sender.clone(), log.clone(), refused.clone());
                 std::thread::spawn(move || {
                     let mut connection = Connection::new(stream);
                     while let Ok(line) = connection.lines.recv() {
@@ -227,7 +230,7 @@
                             let _ = sender.send(connection);
                             return;
                         }
-                        let response = all_accepted(&line);
+                        let response = respond(&line, &refused);
                         log.lock().expect("the call log is not poisoned").push((Instant::now(), line));
                         if connection.stream.write_all(response.as_bytes()).is_err() {
                             return;
@@ -236,7 +239,7 @@
                 });
             }
         });
-        ScriptedRelay { address, subscribers, calls }
+        ScriptedRelay { address, subscribers, calls, refused_text }
     }
 
     /// The next connection that subscribes; no response was sent on it.
@@ -244,11 +247,25 @@
         self.subscribers.recv_timeout(EVENT_TIMEOUT).expect("a subscription arrives before the timeout")
     }
 
+    /// The next connection that subscribes, if there is one already.
+    pub fn try_subscriber(&self) -> Option<Connection> {
+        self.subscribers.try_recv().ok()
+    }
+
     pub fn has_call_with(&self, text: &str) -> bool {
         self.calls.lock().expect("the call log is not poisoned").iter().any(|(_, call)| call.contains(text))
     }
 }
 
+/// The response to a call: all commands are accepted, or none if the call contains the refused text.
+fn respond(call: &str, refused_text: &Mutex<Option<&'static str>>) -> String {
+    let mut refused = refused_text.lock().expect("the text is not poisoned");
+    if refused.take_if(|text| call.contains(*text)).is_some() {
+        return format!("{{\"id\":{},\"result\":{{\"taken\":0}}}}\n", call_id(call));
+    }
+    all_accepted(call)
+}
+
 /// A watch request received by discovery, without a response yet.
 pub struct Watch {
     pub stream: TcpStream,
--- a/crates/railhub-cli/tests/interruptions.rs
+++ b/crates/railhub-cli/tests/interruptions.rs
@@ -9,6 +9,7 @@
     slice_with_owner, start_controller, Connection, ScriptedDiscovery, ScriptedRelay, Watch, PING,
     SUBSCRIBED, WATCH_HEAD,
 };
+use std::io::Write;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 const WRITES_END_AFTER: Duration = Duration::from_secs(1);
 /// Longer than writes to a former owner, and shorter than the controller waits for a response to a subscription.
 const INTERRUPTION: Duration = Duration::from_millis(1400);
+const SNAPSHOT_APPLIED: &str = "snapshot applied";
 const CLEARED: &str = r#""table":3,"server":"s-1","weight":0.0"#;
 const NAMED: [&str; 2] =
     [r#""table":3,"server":"s-2","weight":1.0"#, r#""table":3,"server":"s-3","weight":1.0"#];
@@ -27,7 +29,7 @@
     subscriber: Connection,
     watch: Watch,
     _discovery: ScriptedDiscovery,
-    _controller: Controller,
+    controller: Controller,
 }
 
 impl Deployment {
@@ -39,11 +41,12 @@
                 .replace("\"exclusive\":false", SINGLE_OWNER)
                 .replace("\"settings\":{", &format!("\"settings\":{{\"balancers\":{controllers},"))
         });
-        let mut subscriber = relay.subscriber();
-        subscriber.send(&(SUBSCRIBED.to_owned() + proxies + &slice_with_owner(3, "s-1") + PING));
+        let subscriber = relay.subscriber();
         let mut watch = discovery.watch();
         watch.send(WATCH_HEAD);
-        Deployment { relay, subscriber, watch, _discovery: discovery, _controller: controller }
+        let mut deployment = Deployment { relay, subscriber, watch, _discovery: discovery, controller };
+        deployment.send_snapshot(&(proxies.to_owned() + &slice_with_owner(3, "s-1")));
+        deployment
     }
 
     /// Lets the owner of slice 3 drain, and waits until its table is cleared. Returns the barrier of that call.
@@ -66,7 +69,28 @@
         self.subscriber.stream.shutdown(Shutdown::Both).expect("the stream is open");
         self.subscriber = self.relay.subscriber();
         std::thread::sleep(pause);
+        self.send_snapshot(snapshot);
+    }
+
+    /// Confirms the subscription, and waits until the controller has applied its snapshot.
+    fn send_snapshot(&mut self, snapshot: &str) {
+        let applied_before = self.controller.log_count(SNAPSHOT_APPLIED);
         self.subscriber.send(&(SUBSCRIBED.to_owned() + snapshot + PING));
+        eventually("the snapshot is applied", || {
+            self.controller.log_count(SNAPSHOT_APPLIED) > applied_before
+        });
+    }
+
+    /// Waits until the controller requests a new subscription though the present one is kept alive.
+    fn accept_new_subscription(&mut self) {
+        let mut next = None;
+        eventually("a new subscription is requested", || {
+            // The controller may close the present one at any moment.
+            let _ = self.subscriber.stream.write_all(PING.as_bytes());
+            next = self.relay.try_subscriber();
+            next.is_some()
+        });
+        self.subscriber = next.expect("requested");
     }
 
     fn names_owner(&self) -> bool {
@@ -132,3 +156,20 @@
         deployment.names_owner()
     });
 }
+
+/// Guards against a table that counts as cleared though the relay refused the command: the next owner replaced the
+/// former one at once.
+#[test]
+fn a_refused_clearing_is_repeated_before_the_next_owner() {
+    let mut deployment = Deployment::start("refused-clearing", 1, &proxy_joined(1));
+    *deployment.relay.refused_text.lock().expect("not poisoned") = Some(CLEARED);
+    let barrier = deployment.clear_slice();
+    deployment.accept_new_subscription();
+    deployment.relay.calls.lock().expect("not poisoned").clear();
+    deployment
+        .subscriber
+        .send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_with_owner(3, "s-1") + PING));
+    eventually("the table is cleared again", || deployment.relay.has_call_with(CLEARED));
+    deployment.acknowledge(1, barrier + 1);
+    deployment.assert_no_owner_is_named_for(WRITES_END_AFTER / 2);
+}
--- a/crates/railhub-platform/src/call.rs
+++ b/crates/railhub-platform/src/call.rs
@@ -21,6 +21,7 @@
 /// | `InFlight` | a slice that the call changes is reassigned | `InFlightOutdated` |
 /// | `InFlightOutdated` | it ends, with or without a response | `OutcomeUnknown` |
 /// | `Idle` | a call that names an owner was accepted while no subscription was current | `OutcomeUnknown` |
+/// | `Idle` | a command that changes the table of a single owner was dropped | `OutcomeUnknown` |
 /// | `Idle` | too many commands were accepted before a snapshot was complete | `OutcomeUnknown` |
 /// | `InFlightOutdated`, `OutcomeUnknown` | a slice that the call changes is reassigned | same state, newer `latest` |
 /// | `OutcomeUnknown` | a snapshot that was requested later shows the outcome | `Idle` |
@@ -67,6 +68,9 @@
     /// A call that names an owner was accepted while no subscription was current: the slice may have been reassigned.
     #[error("a call that names an owner ended while no subscription was current")]
     OwnerNamedUnobserved,
+    /// The relay did not carry out a command that changes the table of a single owner.
+    #[error("a command that changes a table was dropped")]
+    TableCommandDropped,
     /// More commands were accepted than are kept while a snapshot is pending.
     #[error("too many commands were accepted before a snapshot was complete")]
     SnapshotTooSlow,
--- a/crates/railhub-platform/src/controller.rs
+++ b/crates/railhub-platform/src/controller.rs
@@ -56,7 +56,7 @@
     call: CallTracker,
     health_checks_stale: u64,
     commands_discarded: u64,
-    /// What the latest snapshot changed, for the log of the next batch.
+    /// The latest snapshot, for the log of the next batch.
     snapshot_notice: Option<Notice>,
 }
 
@@ -251,17 +251,16 @@
         for slice in &changed {
             self.discard_commands(*slice, true);
         }
-        self.note_snapshot(changed.len(), self.commands_discarded - discarded_before);
+        self.snapshot_notice = Some(Notice::SnapshotApplied {
+            proxies: self.proxies.len(),
+            slices: stored.len(),
+            tables_changed: changed.len(),
+            commands_discarded: self.commands_discarded - discarded_before,
+        });
         let expected = self.expected_tables(stored);
         self.batch.events.assignments.extend(assignment_changes(known, expected, self.single_owner));
     }
 
-    fn note_snapshot(&mut self, tables_changed: usize, commands_discarded: u64) {
-        if tables_changed > 0 || commands_discarded > 0 {
-            self.snapshot_notice = Some(Notice::SnapshotDiffers { tables_changed, commands_discarded });
-        }
-    }
-
     /// The stored tables with all pending commands applied.
     fn expected_tables(&self, stored: &BTreeMap<SliceId, Table>) -> BTreeMap<SliceId, Table> {
         let expected =
@@ -390,7 +389,7 @@
             Some(CallResponse::Rejected) => None,
             Some(CallResponse::Malformed) => {
                 let dropped = self.commands.drop_call();
-                self.report_undelivered(&dropped);
+                self.on_dropped(&dropped);
                 Some(DroppedCommands::MalformedCall { commands: dropped.len() })
             }
             Some(CallResponse::Accepted(count)) => {
@@ -401,15 +400,19 @@
                 if self.subscription.on_accepted(accepted).is_err() {
                     self.require_snapshot(ResubscribeReason::SnapshotTooSlow);
                 }
-                self.report_undelivered(refused.as_slice());
+                self.on_dropped(refused.as_slice());
                 refused.map(DroppedCommands::Refused)
             }
         }
     }
 
-    /// Reports the exclusions and readmissions among dropped commands to the decision logic. Tables need no report: the
-    /// next snapshot shows what the store has.
-    fn report_undelivered(&mut self, dropped: &[Command]) {
+    /// Reports the exclusions and readmissions among dropped commands to the decision logic. What the store has instead
+    /// of the dropped entries of tables is shown by a snapshot. With a single owner it must be known at once: a table
+    /// that counts as cleared, but is not, would soon be given another owner.
+    fn on_dropped(&mut self, dropped: &[Command]) {
+        if self.single_owner && dropped.iter().any(|command| command.table().is_some()) {
+            self.require_snapshot(ResubscribeReason::TableCommandDropped);
+        }
         let undelivered = dropped.iter().filter_map(Command::undelivered_exclusion);
         self.batch.events.undelivered_exclusions.extend(undelivered);
         self.batch.changed |= !self.batch.events.undelivered_exclusions.is_empty();
--- a/crates/railhub-platform/src/sink.rs
+++ b/crates/railhub-platform/src/sink.rs
@@ -13,9 +13,16 @@
     /// A decision that was made.
     #[error("{0}")]
     Decision(DecisionEvent),
-    /// A snapshot replaced state that decisions were based on.
-    #[error("snapshot differs from known state tables_changed={tables_changed} commands_discarded={commands_discarded}")]
-    SnapshotDiffers {
+    /// A snapshot has replaced the known state.
+    #[error(
+        "snapshot applied proxies={proxies} slices={slices} tables_changed={tables_changed} \
+         commands_discarded={commands_discarded}"
+    )]
+    SnapshotApplied {
+        /// Connected proxies.
+        proxies: usize,
+        /// Slices assigned to this controller.
+        slices: usize,
         /// Tables that are neither as last published nor a result of the pending commands.
         tables_changed: usize,
         /// Commands dropped because the table that they were decided on has changed, or may have.
--- a/crates/railhub-platform/tests/controller/interruptions.rs
+++ b/crates/railhub-platform/tests/controller/interruptions.rs
@@ -197,3 +197,29 @@
     let named_at = named_at.expect("an owner is named");
     assert!((WRITES_END_AFTER..WRITES_END_AFTER + 1.2).contains(&named_at), "{named_at}");
 }
+
+/// Guards against a table that counts as cleared though the relay did not carry out the command: a later barrier was
+/// acknowledged, and the next owner replaced the former one at once.
+#[test]
+fn table_command_that_was_not_carried_out_requires_a_snapshot() {
+    for response in [CallResponse::Malformed, CallResponse::Accepted(0)] {
+        let config = single_owner_config(1);
+        let mut controller = TestController::new(&config);
+        send_snapshot(&mut controller, START, &[joined(1), assigned(3), stored(3, 1)]);
+        accept_all_calls(&mut controller, START);
+        controller.on_endpoint_page(START + 10.0, &list_with_draining_host(&config));
+        controller.on_relay_event(START + 10.0, RelayEvent::Heartbeat);
+        controller.poll(START + 10.0);
+        let call = controller.next_call().expect("the table is cleared");
+        controller.on_call_ended(Some(response));
+        assert!(controller.take_resubscribe_reason().is_some(), "{response:?}");
+        acknowledge(&mut controller, START + 10.2, &call);
+        assert!(!names_owner(&run(&mut controller, START + 10.2, START + 18.0)), "{response:?}");
+        send_snapshot(&mut controller, START + 18.0, &[joined(1), assigned(3), stored(3, 1)]);
+        let calls = accept_all_calls(&mut controller, START + 18.0);
+        assert!(
+            calls.contains(r#""table":3,"server":"s-1","weight":0.0"#) && !names_owner(&calls),
+            "{calls}"
+        );
+    }
+}
