--- a/crates/railhub-cli/tests/interruptions.rs
+++ b/crates/railhub-cli/tests/interruptions.rs
@@ -173,3 +173,22 @@
     deployment.acknowledge(1, barrier + 1);
     deployment.assert_no_owner_is_named_for(WRITES_END_AFTER / 2);
 }
+
+/// Guards against the news of an assignment that is older than an answered call: the owner that the call named was not
+/// known, and another one was named beside it.
+#[test]
+fn an_assignment_right_after_an_answered_call_is_checked_by_a_snapshot() {
+    let mut deployment = Deployment::start("late-assignment", 1, &proxy_joined(1));
+    let barrier = deployment.clear_slice();
+    deployment.acknowledge(1, barrier);
+    eventually("an owner is named", || {
+        deployment.subscriber.send(PING);
+        deployment.names_owner()
+    });
+    let revoked = notification("given", r#"{"slice":3,"on":false}"#);
+    deployment.subscriber.send(&(revoked + &slice_assigned(3)));
+    deployment.accept_new_subscription();
+    deployment
+        .subscriber
+        .send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_with_owner(3, "s-2") + PING));
+}
--- a/crates/railhub-platform/src/call.rs
+++ b/crates/railhub-platform/src/call.rs
@@ -20,7 +20,7 @@
 /// | `InFlight` | it ends without a response | `OutcomeUnknown` |
 /// | `InFlight` | a slice that the call changes is reassigned | `InFlightOutdated` |
 /// | `InFlightOutdated` | it ends, with or without a response | `OutcomeUnknown` |
-/// | `Idle` | a call that names an owner was accepted while no subscription was current | `OutcomeUnknown` |
+/// | `Idle` | a call that changes tables of single owners was accepted while no subscription was current | `OutcomeUnknown` |
 /// | `Idle` | a command that changes the table of a single owner was dropped | `OutcomeUnknown` |
 /// | `Idle` | too many commands were accepted before a snapshot was complete | `OutcomeUnknown` |
 /// | `InFlightOutdated`, `OutcomeUnknown` | a slice that the call changes is reassigned | same state, newer `latest` |
@@ -65,9 +65,10 @@
     /// A call that changes a reassigned slice ended: snapshots requested from now on show its effect.
     #[error("a call that changes a reassigned slice ended")]
     OutdatedCallEnded,
-    /// A call that names an owner was accepted while no subscription was current: the slice may have been reassigned.
-    #[error("a call that names an owner ended while no subscription was current")]
-    OwnerNamedUnobserved,
+    /// Commands that change tables of single owners were accepted while no subscription was current. If the slice was
+    /// not assigned to this controller at that moment, they had no effect.
+    #[error("a call that changes tables was accepted while no subscription was current")]
+    AcceptedUnobserved,
     /// The relay did not carry out a command that changes the table of a single owner.
     #[error("a command that changes a table was dropped")]
     TableCommandDropped,
--- a/crates/railhub-platform/src/controller.rs
+++ b/crates/railhub-platform/src/controller.rs
@@ -21,6 +21,7 @@
 use crate::host_directory::{merge_list, HealthCheck, HostDirectory};
 use crate::observation::ObservationTracker;
 use crate::pending_commands::{AcceptedCommands, PendingCommands};
+use crate::recent_table_changes::RecentTableChanges;
 use crate::relay::{Call, CallResponse, RelayEvent, SubscriptionId};
 use crate::sink::{BatchSink, Notice};
 use crate::slice_assignments::PendingAssignments;
@@ -50,6 +51,10 @@
     hosts: HostDirectory,
     proxies: BTreeSet<ProxyId>,
     commands: PendingCommands,
+    /// With a single owner, the tables that accepted commands have changed recently.
+    recent_changes: RecentTableChanges,
+    /// The latest time that the driver has passed.
+    latest_event_at: Seconds,
     /// Time of the batch since which commands have been pending without interruption. The oldest command that is
     /// pending now may be newer.
     oldest_pending_at: Option<Seconds>,
@@ -76,6 +81,8 @@
             hosts: HostDirectory::default(),
             proxies: BTreeSet::new(),
             commands: PendingCommands::new(&config.controller),
+            recent_changes: RecentTableChanges::default(),
+            latest_event_at: 0.0,
             oldest_pending_at: None,
             call: CallTracker::default(),
             health_checks_stale: 0,
@@ -141,6 +148,7 @@
 
     /// Handles an event of a subscription. Events of subscriptions older than the newest confirmed one are ignored.
     pub fn on_relay_event(&mut self, now: Seconds, id: SubscriptionId, event: RelayEvent) {
+        self.latest_event_at = now;
         match self.subscription.on_event(now, id, event) {
             EventOutcome::None => {}
             EventOutcome::Subscribed => {
@@ -148,7 +156,7 @@
                 self.note_interruption();
             }
             EventOutcome::SnapshotEnded => self.complete_snapshot(),
-            EventOutcome::SliceReassigned { slice, assigned } => self.discard_commands(slice, assigned),
+            EventOutcome::SliceReassigned { slice, assigned } => self.on_slice_reassigned(slice, assigned),
             EventOutcome::BarrierAcked(ack) => self.batch.events.barrier_acks.push(ack),
             EventOutcome::Live(event) => self.on_live_event(now, event),
         }
@@ -163,7 +171,7 @@
             RelayEvent::ProxyLeft(proxy) => self.add_stream_event(ProxyStreamEvent::Disconnected(proxy)),
             RelayEvent::BarrierAcked(ack) => self.batch.events.barrier_acks.push(ack),
             RelayEvent::SliceAssigned { slice, assigned } => {
-                self.discard_commands(slice, assigned);
+                self.on_slice_reassigned(slice, assigned);
                 self.pending_assignments.on_assigned(now, slice, assigned);
             }
             RelayEvent::StoredEntry { slice, line: entry } => {
@@ -210,6 +218,14 @@
         }
     }
 
+    /// A slice was assigned or revoked. Its table may be from before a command that was accepted already.
+    fn on_slice_reassigned(&mut self, slice: SliceId, assigned: bool) {
+        self.discard_commands(slice, assigned);
+        if assigned && self.recent_changes.contains(self.latest_event_at, slice) {
+            self.require_snapshot(ResubscribeReason::SliceReassigned);
+        }
+    }
+
     /// With a single owner, drops the commands that name an owner and that no call carries. They were decided when no
     /// write to a former owner was in progress, which may be otherwise once changes may have been missed.
     fn discard_owner_commands(&mut self) {
@@ -305,6 +321,7 @@
 
     /// Performs due work: completes a snapshot whose events have paused for its idle timeout, and handles a batch.
     pub fn poll(&mut self, now: Seconds) -> Effects {
+        self.latest_event_at = now;
         if self.subscription.is_idle(now) {
             self.complete_snapshot();
         }
@@ -312,8 +329,7 @@
             self.resolve_call_outcome();
         }
         if self.pending_assignments.are_complete(now) {
-            self.pending_assignments.move_into(&mut self.batch.events.assignments);
-            self.batch.changed = true;
+            self.apply_pending_assignments();
         }
         if self.subscription.may_decide() && self.is_batch_due(now) {
             self.handle_batch(now)
@@ -322,6 +338,16 @@
         }
     }
 
+    /// Moves the assignments into the next batch. Commands for their slices that were queued since the assignments were
+    /// received were decided for the previous tables.
+    fn apply_pending_assignments(&mut self) {
+        for (slice, assigned) in self.pending_assignments.slices() {
+            self.discard_commands(slice, assigned);
+        }
+        self.pending_assignments.move_into(&mut self.batch.events.assignments);
+        self.batch.changed = true;
+    }
+
     fn is_batch_due(&self, now: Seconds) -> bool {
         let changes_due = self.batch.changed && now - self.batch.handled_at >= self.min_batch_interval;
         changes_due || self.timers.is_due(now)
@@ -358,8 +384,8 @@
         }
         let mut events = self.batch.take(now);
         events.timers.extend(expired);
-        events.observation =
-            self.observation.next_batch(self.is_observing(), self.subscription.is_silent(now));
+        let is_late = self.subscription.is_silent(now) || !self.pending_assignments.is_empty();
+        events.observation = self.observation.next_batch(self.is_observing(), is_late);
         events.oldest_pending_at = self.oldest_pending_at;
         events
     }
@@ -394,8 +420,12 @@
             }
             Some(CallResponse::Accepted(count)) => {
                 let AcceptedCommands { accepted, refused } = self.commands.on_accepted(count);
-                if self.single_owner && !self.is_observing() && accepted.iter().any(Command::names_host) {
-                    self.require_snapshot(ResubscribeReason::OwnerNamedUnobserved);
+                if self.single_owner {
+                    self.recent_changes.on_accepted(self.latest_event_at, &accepted);
+                }
+                let changes_tables = accepted.iter().any(|command| command.table().is_some());
+                if self.single_owner && !self.is_observing() && changes_tables {
+                    self.require_snapshot(ResubscribeReason::AcceptedUnobserved);
                 }
                 if self.subscription.on_accepted(accepted).is_err() {
                     self.require_snapshot(ResubscribeReason::SnapshotTooSlow);
--- a/crates/railhub-platform/src/lib.rs
+++ b/crates/railhub-platform/src/lib.rs
@@ -30,6 +30,7 @@
 mod host_directory;
 mod observation;
 mod pending_commands;
+mod recent_table_changes;
 mod relay;
 mod sink;
 mod slice_assignments;
--- a/crates/railhub-platform/src/observation.rs
+++ b/crates/railhub-platform/src/observation.rs
@@ -5,7 +5,7 @@
 //! between. So the batch that carries the snapshot is marked as [`Observation::Resumed`].
 //!
 //! A subscription that is open but silent loses nothing. Its news may be late, though, so the observation counts as
-//! interrupted until the next event.
+//! interrupted until the next event; so it does while the tables of newly assigned slices are being received.
 use railhub::Observation;
 
 /// Tracks interruptions from one batch to the next.
@@ -29,12 +29,12 @@
     }
 
     /// The observation of the batch that is handled now. `is_current`: a snapshot is complete and its subscription is
-    /// open; `is_silent`: that subscription has received nothing for too long.
-    pub(crate) fn next_batch(&mut self, is_current: bool, is_silent: bool) -> Observation {
+    /// open; `is_late`: there may be changes that the batch does not contain yet, but none that are missed.
+    pub(crate) fn next_batch(&mut self, is_current: bool, is_late: bool) -> Observation {
         if !is_current {
             self.may_have_missed_changes = true;
         }
-        if !is_current || is_silent {
+        if !is_current || is_late {
             Observation::Interrupted
         } else if std::mem::take(&mut self.may_have_missed_changes) {
             Observation::Resumed
--- a/crates/railhub-platform/src/slice_assignments.rs
+++ b/crates/railhub-platform/src/slice_assignments.rs
@@ -56,6 +56,18 @@
         self.assignments.clear();
     }
 
+    /// Whether there are no assignments.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.assignments.is_empty()
+    }
+
+    /// The slices, each with whether it is assigned.
+    pub(crate) fn slices(&self) -> Vec<(SliceId, bool)> {
+        let is_assigned =
+            |assignment: &SliceAssignment| !matches!(assignment, SliceAssignment::Revoked { .. });
+        self.assignments.iter().map(|assignment| (assignment.slice(), is_assigned(assignment))).collect()
+    }
+
     /// Moves all assignments into the next batch.
     pub(crate) fn move_into(&mut self, batched: &mut Vec<SliceAssignment>) {
         batched.append(&mut self.assignments);
--- a/crates/railhub-platform/tests/controller/interruptions.rs
+++ b/crates/railhub-platform/tests/controller/interruptions.rs
@@ -223,3 +223,56 @@
         );
     }
 }
+
+/// Assigns slice 3 anew, with an empty table.
+fn reassign_with_empty_table(controller: &mut TestController, now: f64) {
+    let revoked = RelayEvent::SliceAssigned { slice: SliceId(3), assigned: false };
+    [revoked, assigned(3)].into_iter().for_each(|event| controller.on_relay_event(now, event));
+}
+
+/// Guards against the news of an assignment that is older than a call which was answered before it: the empty table
+/// counted as the present one, and another owner was named beside the one that the call had named.
+#[test]
+fn assignment_that_may_be_older_than_an_accepted_call_requires_a_snapshot() {
+    let config = single_owner_config(1);
+    let mut controller = with_cleared_slice(&config);
+    controller.on_relay_event(START + 15.0, RelayEvent::Heartbeat);
+    assert!(names_owner(&accept_all_calls(&mut controller, START + 15.0)));
+    reassign_with_empty_table(&mut controller, START + 15.05);
+    assert!(controller.take_resubscribe_reason().is_some());
+    assert!(
+        !names_owner(&run(&mut controller, START + 15.1, START + 25.0)),
+        "only a snapshot shows the owner"
+    );
+}
+
+/// Guards against an owner that is named on the previous table, between the news of an assignment and its batch.
+#[test]
+fn no_owner_is_named_while_an_assignment_is_being_received() {
+    let config = single_owner_config(2);
+    let mut controller = with_cleared_slice(&config);
+    reassign_with_empty_table(&mut controller, START + 15.0);
+    let calls =
+        accept_all_calls(&mut controller, START + 15.0) + &accept_all_calls(&mut controller, START + 15.1);
+    assert!(!names_owner(&calls), "{calls}");
+}
+
+/// Guards against a command that was accepted while the slice was assigned elsewhere, so that it had no effect, and that
+/// counts as part of the next snapshot.
+#[test]
+fn table_command_accepted_during_an_interruption_requires_a_later_snapshot() {
+    let config = single_owner_config(1);
+    let mut controller = TestController::new(&config);
+    let snapshot = [joined(1), assigned(3), stored(3, 1)];
+    send_snapshot(&mut controller, START, &snapshot);
+    accept_all_calls(&mut controller, START);
+    let subscription = controller.subscription;
+    controller.on_subscription_ended(subscription);
+    controller.request_subscription();
+    controller.on_endpoint_page(START + 10.0, &list_with_draining_host(&config));
+    assert!(accept_all_calls(&mut controller, START + 10.0).contains(r#""server":"s-1","weight":0.0"#));
+    assert!(controller.take_resubscribe_reason().is_some());
+    send_snapshot(&mut controller, START + 10.2, &snapshot);
+    let calls = accept_all_calls(&mut controller, START + 10.3);
+    assert!(calls.contains(r#""server":"s-1","weight":0.0"#), "the table is cleared again: {calls}");
+}
