Do not take a rejected delta for the receipt of a cleared table

What callers saw: not seen in operation.

Cause: a rejected delta passes its barrier as an acknowledged one does, since it has left the channel. The decisions took that for the receipt.

Change: with a single owner no response to a version from before the rejection passes a barrier.

Evidence: rejected_clearing_is_not_acknowledged (running controller, loopback sockets) fails on the code before (run in a clone: the owner is named) and passes now.

--- a/crates/railhub-controller/src/core/sessions.rs
+++ b/crates/railhub-controller/src/core/sessions.rs
@@ -23,12 +23,15 @@
     pub(super) subscribe: Subscribe,
     pub(super) channel: C,
     pub(super) state: SessionState,
+    /// The newest version when the proxy last rejected a delta; 0 if it has not. A response to a delta up to it does not
+    /// show that the proxy has applied the rejected change.
+    pub(super) rejected_at_version: u64,
 }
 
 impl<C> ProxySession<C> {
     pub(super) fn new(stream: StreamId, subscribe: Subscribe, channel: C) -> ProxySession<C> {
         let (process, state) = (subscribe.process, SessionState::AwaitingSnapshot);
-        ProxySession { stream, process, subscribe, channel, state }
+        ProxySession { stream, process, subscribe, channel, state, rejected_at_version: 0 }
     }
 
     pub(super) fn is_joined(&self) -> bool {
@@ -64,6 +67,11 @@
         self.by_proxy.get(&proxy).filter(|session| session.stream == stream)
     }
 
+    /// The session of a proxy, if it runs on this stream.
+    pub(super) fn on_stream_mut(&mut self, proxy: ProxyId, stream: StreamId) -> Option<&mut ProxySession<C>> {
+        self.by_proxy.get_mut(&proxy).filter(|session| session.stream == stream)
+    }
+
     /// The session of a proxy, if it is joined.
     pub(super) fn joined_mut(&mut self, proxy: ProxyId) -> Option<&mut ProxySession<C>> {
         self.by_proxy.get_mut(&proxy).filter(|session| session.is_joined())
--- a/crates/railhub-controller/src/core/streams.rs
+++ b/crates/railhub-controller/src/core/streams.rs
@@ -66,7 +66,7 @@
 
     /// Handles a proxy's response to a delta, and returns whether the delta was in flight. A rejected delta passes its
     /// barrier like an acknowledged one, since it has left the channel; the decision engine is told which exclusions in it
-    /// were not applied.
+    /// were not applied. With a single owner it does not pass: the proxy goes on writing by the table that it holds.
     pub fn on_delta_response(
         &mut self,
         now: Seconds,
@@ -75,7 +75,8 @@
         nonce: u64,
         response: DeltaResponse,
     ) -> bool {
-        let Some(session) = self.sessions.on_stream(proxy, stream) else { return false };
+        let (single_owner, version) = (self.settings.config.single_owner, self.tables.version);
+        let Some(session) = self.sessions.on_stream_mut(proxy, stream) else { return false };
         let ResponseEffect::Settled { barrier } = session.channel.on_response(nonce, response) else {
             return false;
         };
@@ -84,9 +85,12 @@
         }
         if response == DeltaResponse::Nack {
             self.figures.nacks += 1;
+            session.rejected_at_version = version;
             self.batch.undelivered_exclusions.extend(session.channel.rejected_exclusions());
         }
-        self.batch.barrier_acks.extend(barrier.map(|barrier| BarrierAck { proxy, barrier }));
+        if !single_owner || nonce > session.rejected_at_version {
+            self.batch.barrier_acks.extend(barrier.map(|barrier| BarrierAck { proxy, barrier }));
+        }
         true
     }
 
