Reset the connection of a call that was given up

What callers saw: not seen in operation.

Cause: the call's connection was closed in the ordinary way, and the kernel goes on delivering what the other side has not received, also after a cut.

Change: the connection of a call that failed is reset, which discards that.

--- a/crates/railhub-cli/tests/interruptions.rs
+++ b/crates/railhub-cli/tests/interruptions.rs
@@ -9,8 +9,9 @@
     slice_with_owner, start_controller, Connection, ScriptedDiscovery, ScriptedRelay, Watch, PING,
     SUBSCRIBED, WATCH_HEAD,
 };
-use std::io::Write;
-use std::net::Shutdown;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
 /// Writes to a former owner end within a second: the sum of the lease and the duration of a write.
@@ -192,3 +193,38 @@
         .subscriber
         .send(&(SUBSCRIBED.to_owned() + &proxy_joined(1) + &slice_with_owner(3, "s-2") + PING));
 }
+
+/// A listener whose connections receive no more than a few kilobytes before they are read.
+fn listener_with_small_receive_buffer() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let size: libc::c_int = 1;
+    // SAFETY: the descriptor is open, and the option's value is an integer of the given size.
+    let result = unsafe {
+        let value = (&raw const size).cast();
+        let length = size_of::<libc::c_int>() as libc::socklen_t;
+        libc::setsockopt(listener.as_raw_fd(), libc::SOL_SOCKET, libc::SO_RCVBUF, value, length)
+    };
+    assert_eq!(result, 0);
+    listener
+}
+
+/// Guards against a call that reaches the relay long after it was given up: the kernel went on delivering it after the
+/// connection was closed, so that it could take effect on a later table.
+#[test]
+fn a_call_that_was_given_up_is_not_delivered_later() {
+    let listener = listener_with_small_receive_buffer();
+    let relay = listener.local_addr().expect("the listener is bound");
+    let discovery = ScriptedDiscovery::open();
+    let _controller = start_controller("given-up-call", |listen| {
+        file_with_hosts(listen, relay, discovery.address, &host_list(3))
+    });
+    let (mut subscriber, _) = listener.accept().expect("the controller subscribes");
+    let slices: String = (0..40).map(|slice| slice_with_owner(slice, "s-1")).collect();
+    let snapshot = SUBSCRIBED.to_owned() + &proxy_joined(1) + &slices + PING;
+    subscriber.write_all(snapshot.as_bytes()).expect("the controller reads");
+    let (mut caller, _) = listener.accept().expect("the controller calls");
+    std::thread::sleep(Duration::from_secs(1));
+    let mut received = Vec::new();
+    let _ = caller.read_to_end(&mut received);
+    assert!(!received.is_empty() && !received.contains(&b'\n'), "{} bytes arrived", received.len());
+}
--- a/crates/railhub-net/src/framed.rs
+++ b/crates/railhub-net/src/framed.rs
@@ -66,7 +66,8 @@
     TcpStream::connect_timeout(&address, timeout)
 }
 
-/// Makes closing the connection send a reset, as when a process dies with unread bytes.
+/// Makes closing the connection send a reset, as when a process dies with unread bytes. What has not been delivered is
+/// discarded; after an ordinary close the kernel goes on delivering it.
 pub fn reset_on_close(stream: &TcpStream) {
     let linger = libc::linger { l_onoff: 1, l_linger: 0 };
     let size = std::mem::size_of::<libc::linger>() as libc::socklen_t;
--- a/crates/railhub-platform-net/src/relay/calls.rs
+++ b/crates/railhub-platform-net/src/relay/calls.rs
@@ -8,7 +8,7 @@
 use may::net::TcpStream;
 use may::sync::Semphore;
 use railhub::Seconds;
-use railhub_net::{dial, now, spawn, IdleTimeout};
+use railhub_net::{dial, now, reset_on_close, spawn, IdleTimeout};
 use railhub_platform::wire::relay as wire;
 use railhub_platform::{Call, CallResponse};
 use railhub_proto::LineSplitter;
@@ -96,12 +96,14 @@
         let mut connection = self.take_or_open_connection()?;
         let _descriptor = DescriptorGuard::count(&self.shared.descriptors.relay);
         let timeout = IdleTimeout::both_halves(&connection.stream, CALL_TIMEOUT);
-        connection.stream.write_all(&call.bytes).map_err(RelayError::Io)?;
-        let parse = |line: &[u8]| parse_answer(line, call);
-        let answer = next_line(&mut connection.stream, &timeout, &mut connection.lines, parse)??;
-        connection.last_used_at = now();
-        self.idle_connection = timeout.release().then_some(connection);
-        Ok(answer)
+        let answer = connection.exchange(call, &timeout);
+        let is_open = timeout.release();
+        if answer.is_err() {
+            reset_on_close(&connection.stream);
+        } else if is_open {
+            self.idle_connection = Some(connection);
+        }
+        answer
     }
 
     /// Takes the idle connection if it can be reused, otherwise opens a new one.
@@ -116,6 +118,15 @@
 }
 
 impl CallConnection {
+    /// Sends a call and waits for its answer.
+    fn exchange(&mut self, call: &Call, timeout: &IdleTimeout) -> Result<CallResponse, RelayError> {
+        self.stream.write_all(&call.bytes).map_err(RelayError::Io)?;
+        let parse = |line: &[u8]| parse_answer(line, call);
+        let answer = next_line(&mut self.stream, timeout, &mut self.lines, parse)??;
+        self.last_used_at = now();
+        Ok(answer)
+    }
+
     /// Whether the connection is to this address, was used recently, is open, and has received nothing since its last
     /// answer. A call on a connection that the relay has closed would have an unknown outcome, and unsolicited bytes
     /// would be taken for its answer.
