Count the lease after an interruption in one place, and test two more safeguards

The time since which a slice is known to be with this controller only repeated what the disconnection at the end of an interruption says: left out, no test failed. Two safeguards had no test: the disconnection of a proxy that was never heard of, and an acknowledgement from before an interruption. Each left out fails one now.

--- a/src/decision/assignment.rs
+++ b/src/decision/assignment.rs
@@ -48,7 +48,7 @@
         return Slice { published: entries.to_vec(), ..former };
     }
     if tables_match(&former.published, entries) {
-        return Slice { controlled_since: now, writes_end_at: None, ..former };
+        return Slice { writes_end_at: None, ..former };
     }
     let Slice { demand, estimated_rate, assigned_at, .. } = former;
     let stored = Slice::from_stored(now, entries.to_vec(), demand.len());
--- a/src/decision/single_owner.rs
+++ b/src/decision/single_owner.rs
@@ -46,8 +46,7 @@
     let received = acknowledged.iter().filter(|update| !update.recipients.is_empty());
     for id in received.flat_map(|update| &update.cleared_slices) {
         if let Some(slice) = slices.get_mut(id) {
-            slice.writes_end_at =
-                Some(writes_end_at(now, last_disconnect_at, slice.controlled_since, config));
+            slice.writes_end_at = Some(writes_end_at(now, last_disconnect_at, slice.assigned_at, config));
         }
     }
 }
@@ -56,10 +55,10 @@
 fn writes_end_at(
     now: Seconds,
     last_disconnect_at: Seconds,
-    controlled_since: Seconds,
+    assigned_at: Seconds,
     config: &ControllerConfig,
 ) -> Seconds {
-    let last_write_starts = now.max(last_disconnect_at.max(controlled_since) + config.write_lease);
+    let last_write_starts = now.max(last_disconnect_at.max(assigned_at) + config.write_lease);
     last_write_starts + config.max_write_duration
 }
 
--- a/src/decision/slice.rs
+++ b/src/decision/slice.rs
@@ -20,8 +20,6 @@
     pub demand: Vec<DecayingRate>,
     /// When it was assigned to this controller.
     pub assigned_at: Seconds,
-    /// Since when this controller is known to have had it without interruption.
-    pub controlled_since: Seconds,
     /// For a single owner: from when on no write to a former owner can be in progress; `None` if not known yet.
     pub writes_end_at: Option<Seconds>,
     /// Operations per second that are assumed until a load report covers the slice.
@@ -43,7 +41,6 @@
             published,
             demand: vec![DecayingRate::default(); classes],
             assigned_at: now,
-            controlled_since: now,
             writes_end_at: None,
             estimated_rate: 0.0,
             pinned_until: 0.0,
--- a/src/decision/tests/single_owner.rs
+++ b/src/decision/tests/single_owner.rs
@@ -183,3 +183,32 @@
     controller.handle_batch(&acknowledged(122.0, &[0, 1], next), &mut RecordedCommands::default());
     (123..140).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
 }
+
+/// Guards against a lease that is not counted because the connection of the proxy was never heard of.
+#[test]
+fn disconnection_of_an_unknown_proxy_starts_its_lease() {
+    let mut controller = controller(ControllerConfig { single_owner: true, ..config() });
+    controller.handle_batch(&disconnected(119.0, 7), &mut RecordedCommands::default());
+    let barrier = clear_tables(&mut controller, 120.0);
+    controller.handle_batch(&acknowledged(121.0, &[0, 1], barrier), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 121.5), 126.5);
+}
+
+/// Guards against an acknowledgement from before an interruption that counts for the table after it, which another
+/// controller may have cleared.
+#[test]
+fn table_of_a_retained_slice_is_confirmed_anew() {
+    for (sole_controller, is_confirmed) in [(false, false), (true, true)] {
+        let config = ControllerConfig { single_owner: true, sole_controller, ..config() };
+        let mut controller = controller(config);
+        let barrier = clear_tables(&mut controller, 120.0);
+        let cleared: Vec<SliceId> = (0..3).map(|k| SliceId(4 * k)).collect();
+        let retained = |slice: &SliceId| SliceAssignment::Retained { slice: *slice, entries: Vec::new() };
+        let assignments = cleared.iter().map(retained).collect();
+        let resumed = EventBatch { observation: Observation::Resumed, assignments, ..tick(121.0) };
+        controller.handle_batch(&resumed, &mut RecordedCommands::default());
+        controller.handle_batch(&acknowledged(122.0, &[0, 1], barrier), &mut RecordedCommands::default());
+        let confirmed = |id: &SliceId| controller.slices[id].writes_end_at.is_some();
+        assert_eq!(cleared.iter().all(confirmed), is_confirmed, "sole controller: {sole_controller}");
+    }
+}
