--- a/crates/railhub-platform/src/controller.rs
+++ b/crates/railhub-platform/src/controller.rs
@@ -12,6 +12,9 @@
 //! 4. [`PlatformController::next_call`] returns the call that carries them, one at a time.
 //! 5. [`PlatformController::on_call_ended`] handles the response. Without a response, the snapshot of a later
 //!    subscription shows the outcome ([`PlatformController::take_resubscribe_reason`]).
+mod counters;
+mod resynchronization;
+
 use crate::batch::{PendingBatch, Timers};
 use crate::call::{CallTracker, ResubscribeReason};
 use crate::command::Command;
@@ -25,16 +28,13 @@
 use crate::relay::{Call, CallResponse, RelayEvent, SubscriptionId};
 use crate::sink::{BatchSink, Notice};
 use crate::slice_assignments::PendingAssignments;
-use crate::snapshot_changes::{
-    assignment_changes, stream_changes, stream_established, tables_changed_elsewhere,
-};
+use crate::snapshot_changes::stream_established;
 use crate::subscription::{EventOutcome, Snapshot, Subscription};
-use crate::table::Table;
 use railhub::{
     Controller, EventBatch, HealthCheckOutcome, HealthCheckResult, HostLoadReport, ProxyId, ProxyStreamEvent,
-    Seconds, SliceId, SliceLoadReport,
+    Seconds, SliceLoadReport,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// A controller on the platform, without I/O or clocks.
 pub struct PlatformController {
@@ -135,17 +135,6 @@
         self.note_interruption();
     }
 
-    /// Whether every change of the relay's state is received, and no pending command was lost.
-    fn is_observing(&self) -> bool {
-        self.subscription.is_current() && !self.commands.overflowed
-    }
-
-    fn note_interruption(&mut self) {
-        if !self.is_observing() {
-            self.observation.on_interrupted();
-        }
-    }
-
     /// Handles an event of a subscription. Events of subscriptions older than the newest confirmed one are ignored.
     pub fn on_relay_event(&mut self, now: Seconds, id: SubscriptionId, event: RelayEvent) {
         self.latest_event_at = now;
@@ -206,104 +195,6 @@
         self.batch.events.proxy_streams.push(event);
     }
 
-    /// Drops the pending commands for a slice, which were decided for another table. Only a snapshot shows whether those
-    /// of a call that may be carried out are applied before or after the reassignment.
-    fn discard_commands(&mut self, slice: SliceId, assigned: bool) {
-        let is_outdated = |command: &Command| command.changes_table(slice);
-        self.commands_discarded += self.commands.discard_queued(is_outdated) as u64;
-        if self.call.blocker().is_none() {
-            self.commands_discarded += self.commands.discard_in_call(is_outdated) as u64;
-        } else if self.commands.call_contains(is_outdated) && assigned {
-            self.require_snapshot(ResubscribeReason::SliceReassigned);
-        }
-    }
-
-    /// A slice was assigned or revoked. Its table may be from before a command that was accepted already.
-    fn on_slice_reassigned(&mut self, slice: SliceId, assigned: bool) {
-        self.discard_commands(slice, assigned);
-        if assigned && self.recent_changes.contains(self.latest_event_at, slice) {
-            self.require_snapshot(ResubscribeReason::SliceReassigned);
-        }
-    }
-
-    /// With a single owner, drops the commands that name an owner and that no call carries. They were decided when no
-    /// write to a former owner was in progress, which may be otherwise once changes may have been missed.
-    fn discard_owner_commands(&mut self) {
-        if !self.single_owner {
-            return;
-        }
-        self.commands_discarded += self.commands.discard_queued(Command::names_host) as u64;
-        if self.call.blocker().is_none() {
-            self.commands_discarded += self.commands.discard_in_call(Command::names_host) as u64;
-        }
-    }
-
-    fn require_snapshot(&mut self, reason: ResubscribeReason) {
-        self.call.require_snapshot(self.subscription.newest_requested(), reason);
-        self.note_interruption();
-    }
-
-    /// The snapshot is complete: it replaces the known state of proxies and slices.
-    fn complete_snapshot(&mut self) {
-        self.resolve_call_outcome();
-        let Some(snapshot) = self.subscription.complete_snapshot(self.single_owner) else { return };
-        self.batch.changed = true;
-        // The snapshot includes the earlier assignments, but not that a proxy disconnected before it.
-        self.pending_assignments.clear();
-        self.batch.events.assignments.clear();
-        for event in stream_changes(&self.proxies, &snapshot.proxies) {
-            self.add_stream_event(event);
-        }
-        self.apply_tables(&snapshot.tables);
-    }
-
-    /// Assigns the stored tables to the decision logic where they differ from those that it knows. The comparison uses
-    /// each stored table with all pending commands applied.
-    fn apply_tables(&mut self, stored: &BTreeMap<SliceId, Table>) {
-        let known = self.decisions.assigned_tables().map(|(slice, table)| (slice, table.to_vec())).collect();
-        let discarded_before = self.commands_discarded;
-        self.discard_owner_commands();
-        let changed = tables_changed_elsewhere(&known, &self.expected_tables(stored));
-        for slice in &changed {
-            self.discard_commands(*slice, true);
-        }
-        self.snapshot_notice = Some(Notice::SnapshotApplied {
-            proxies: self.proxies.len(),
-            slices: stored.len(),
-            tables_changed: changed.len(),
-            commands_discarded: self.commands_discarded - discarded_before,
-        });
-        let expected = self.expected_tables(stored);
-        self.batch.events.assignments.extend(assignment_changes(known, expected, self.single_owner));
-    }
-
-    /// The stored tables with all pending commands applied.
-    fn expected_tables(&self, stored: &BTreeMap<SliceId, Table>) -> BTreeMap<SliceId, Table> {
-        let expected =
-            |(slice, table): (&SliceId, &Table)| (*slice, self.commands.table_when_accepted(*slice, table));
-        stored.iter().map(expected).collect()
-    }
-
-    /// Determines an unknown outcome of a call from the snapshot being received, if that shows it.
-    fn resolve_call_outcome(&mut self) {
-        let Some(snapshot) = self.snapshot_after_call() else { return };
-        let tables = snapshot.tables.clone();
-        self.commands.reconcile(&tables);
-        self.call.on_outcome_known();
-    }
-
-    /// The snapshot being received, if it was requested after the end of a call whose outcome is unknown.
-    fn snapshot_after_call(&self) -> Option<&Snapshot> {
-        let latest = self.call.newest_subscription_without_outcome()?;
-        self.subscription.snapshot_later_than(latest)
-    }
-
-    /// The snapshot of [`Self::snapshot_after_call`], once it contains every table that the call changes. Otherwise a
-    /// slice that has not been received yet would count as one that is no longer assigned to this controller.
-    fn snapshot_covering_call(&self) -> Option<&Snapshot> {
-        self.snapshot_after_call().filter(|snapshot| self.commands.call_is_covered_by(&snapshot.tables))
-    }
-
     /// When [`PlatformController::poll`] is due next if no event arrives before.
     pub fn next_deadline(&self) -> Option<Seconds> {
         let snapshot = self.subscription.idle_deadline();
@@ -454,56 +345,6 @@
         let dropped = overflowed.then_some(ResubscribeReason::CommandsDropped);
         self.call.take_resubscribe_reason().or(dropped)
     }
-
-    /// The generation of the endpoint list.
-    pub fn generation(&self) -> u64 {
-        self.hosts.generation()
-    }
-
-    /// Whether a first snapshot is complete and decisions are made.
-    pub fn is_synchronized(&self) -> bool {
-        self.subscription.may_decide()
-    }
-
-    /// Number of connected proxies.
-    pub fn proxies_joined(&self) -> usize {
-        self.proxies.len()
-    }
-
-    /// Number of hosts in the endpoint list.
-    pub fn hosts_listed(&self) -> usize {
-        self.hosts.len()
-    }
-
-    /// Number of commands that the relay has not accepted.
-    pub fn commands_pending(&self) -> usize {
-        self.commands.len()
-    }
-
-    /// Number of commands dropped because a later one with the same target was queued.
-    pub fn commands_coalesced(&self) -> u64 {
-        self.commands.coalesced
-    }
-
-    /// Number of commands dropped because the table that they were decided on has changed, or may have.
-    pub fn commands_discarded(&self) -> u64 {
-        self.commands_discarded
-    }
-
-    /// Number of admission rates dropped because their class has no name.
-    pub fn unnamed_classes(&self) -> u64 {
-        self.commands.unnamed_classes
-    }
-
-    /// Number of load reports dropped because a batch was full.
-    pub fn load_reports_dropped(&self) -> u64 {
-        self.batch.load_reports_dropped
-    }
-
-    /// Number of health check results ignored because the host was gone, moved or restarted meanwhile.
-    pub fn health_checks_stale(&self) -> u64 {
-        self.health_checks_stale
-    }
 }
 
 #[cfg(test)]
--- a/crates/railhub-platform/src/controller/tests.rs
+++ b/crates/railhub-platform/src/controller/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::command::Command;
-use railhub::{HostId, SliceAssignment, WeightedHost};
+use railhub::{HostId, SliceAssignment, SliceId, WeightedHost};
 
 /// The id of the current subscription before any is confirmed.
 const NO_SUBSCRIPTION: SubscriptionId = SubscriptionId { config_version: 0, sequence: 0 };
