--- a/crates/railhub-platform/src/call.rs
+++ b/crates/railhub-platform/src/call.rs
@@ -19,6 +19,7 @@
 /// | `InFlight` | its response arrives | `Idle` |
 /// | `InFlight` | it ends without a response | `OutcomeUnknown` |
 /// | `InFlight` | a slice that the call changes is reassigned | `InFlightOutdated` |
+/// | `InFlight` | a snapshot is complete, and the call changes tables of single owners | `InFlightOutdated` |
 /// | `InFlightOutdated` | it ends, with or without a response | `OutcomeUnknown` |
 /// | `Idle` | a call that changes tables of single owners was accepted while no subscription was current | `OutcomeUnknown` |
 /// | `Idle` | a command that changes the table of a single owner was dropped | `OutcomeUnknown` |
@@ -65,9 +66,9 @@
     /// A call that changes a reassigned slice ended: snapshots requested from now on show its effect.
     #[error("a call that changes a reassigned slice ended")]
     OutdatedCallEnded,
-    /// Commands that change tables of single owners were accepted while no subscription was current. If the slice was
-    /// not assigned to this controller at that moment, they had no effect.
-    #[error("a call that changes tables was accepted while no subscription was current")]
+    /// A call that changes tables of single owners was accepted while no subscription was current, or was in flight as
+    /// one became current. Its commands had no effect on slices that were not assigned to this controller at that moment.
+    #[error("a call that changes tables was made while no subscription was current")]
     AcceptedUnobserved,
     /// The relay did not carry out a command that changes the table of a single owner.
     #[error("a command that changes a table was dropped")]
--- a/crates/railhub-platform/src/controller/resynchronization.rs
+++ b/crates/railhub-platform/src/controller/resynchronization.rs
@@ -75,6 +75,17 @@
             self.add_stream_event(event);
         }
         self.apply_tables(&snapshot.tables);
+        if self.single_owner && self.commands.call_contains(|command| command.table().is_some()) {
+            self.require_snapshot_after_call();
+        }
+    }
+
+    /// The call in flight changes tables, and the snapshot does not show whether it was carried out while their slices
+    /// were assigned to this controller.
+    fn require_snapshot_after_call(&mut self) {
+        if self.call.blocker().is_some() {
+            self.require_snapshot(ResubscribeReason::AcceptedUnobserved);
+        }
     }
 
     /// Assigns the stored tables to the decision logic where they differ from those that it knows. The comparison uses
--- a/crates/railhub-platform/tests/controller/interruptions.rs
+++ b/crates/railhub-platform/tests/controller/interruptions.rs
@@ -288,3 +288,25 @@
     controller.poll(START + 10.1);
     assert!(controller.take_resubscribe_reason().is_some());
 }
+
+/// Guards against a command that is carried out while the slice is assigned elsewhere, so that it has no effect, and
+/// whose answer comes after the snapshot.
+#[test]
+fn table_command_in_flight_at_the_end_of_a_snapshot_requires_a_later_one() {
+    let config = single_owner_config(1);
+    let mut controller = TestController::new(&config);
+    let snapshot = [joined(1), assigned(3), stored(3, 1)];
+    send_snapshot(&mut controller, START, &snapshot);
+    accept_all_calls(&mut controller, START);
+    let subscription = controller.subscription;
+    controller.on_subscription_ended(subscription);
+    controller.on_endpoint_page(START + 10.0, &list_with_draining_host(&config));
+    controller.poll(START + 10.0);
+    let call = controller.next_call().expect("the table is cleared");
+    send_snapshot(&mut controller, START + 10.1, &snapshot);
+    controller.on_call_ended(Some(CallResponse::Accepted(call.commands)));
+    assert!(controller.take_resubscribe_reason().is_some());
+    send_snapshot(&mut controller, START + 10.3, &snapshot);
+    let calls = accept_all_calls(&mut controller, START + 10.4);
+    assert!(calls.contains(r#""server":"s-1","weight":0.0"#), "the table is cleared again: {calls}");
+}
--- a/crates/railhub-platform/tests/single_owner_model/world.rs
+++ b/crates/railhub-platform/tests/single_owner_model/world.rs
@@ -432,6 +432,9 @@
         for slice in (0..SLICES).filter(|slice| self.assigned_to[*slice] == Some(controller)) {
             subscription.send_table(arrives_at, slice, self.tables[slice]);
         }
+        if self.random.random_bool(0.5) {
+            subscription.send(arrives_at, RelayEvent::Heartbeat);
+        }
     }
 
     fn run_call(&mut self, controller: usize) {
