--- a/crates/railhub-platform/tests/single_owner_model/main.rs
+++ b/crates/railhub-platform/tests/single_owner_model/main.rs
@@ -48,7 +48,8 @@
         3 => (proxy(), controller()).prop_map(|(proxy, controller)| Step::CloseStream { proxy, controller }),
         4 => (proxy(), controller()).prop_map(|(proxy, controller)| Step::OpenStream { proxy, controller }),
         1 => proxy().prop_map(|proxy| Step::RestartProxy { proxy }),
-        1 => controller().prop_map(|controller| Step::RestartController { controller }),
+        1 => (controller(), any::<bool>())
+            .prop_map(|(controller, closes_streams)| Step::RestartController { controller, closes_streams }),
         7 => (1..15u16).prop_map(|tenths| Step::Wait { tenths }),
         2 => (20..60u16).prop_map(|tenths| Step::Wait { tenths }),
     ]
--- a/crates/railhub-platform/tests/single_owner_model/world.rs
+++ b/crates/railhub-platform/tests/single_owner_model/world.rs
@@ -73,8 +73,10 @@
     RestartProxy {
         proxy: usize,
     },
+    /// The proxies keep their streams to the relay, or lose them as well.
     RestartController {
         controller: usize,
+        closes_streams: bool,
     },
     Wait {
         tenths: u16,
@@ -185,7 +187,9 @@
             | Step::SilenceSubscription { controller }
             | Step::ReloadConfiguration { controller }
             | Step::BreakNextCall { controller, .. }
-            | Step::RestartController { controller } => self.apply_to_node(step, self.node_of(controller)),
+            | Step::RestartController { controller, .. } => {
+                self.apply_to_node(step, self.node_of(controller))
+            }
         }
     }
 
@@ -212,9 +216,11 @@
                 node.end_subscription(now, 0.0);
             }
             Step::BreakNextCall { fault, .. } => node.call_fault = Some(fault),
-            Step::RestartController { .. } => {
+            Step::RestartController { closes_streams, .. } => {
                 node.restart(now);
-                (0..PROXIES).for_each(|proxy| self.close_stream(proxy, controller));
+                if closes_streams {
+                    (0..PROXIES).for_each(|proxy| self.close_stream(proxy, controller));
+                }
             }
             _ => {}
         }
