Do not wait for unseen proxies where all proxies are connected

Cause: after an interruption a proxy was taken for possibly unseen even if every proxy that there is was connected.

Change: the settings say how many proxies there are (data_plane_size). If as many are connected as an interruption ends, none can have come and gone. The wait stays where one is missing, or their number is unknown.

--- a/crates/railhub-adapter/src/settings.rs
+++ b/crates/railhub-adapter/src/settings.rs
@@ -61,6 +61,7 @@
         single_owner,
         write_lease: single_owner_time(line, "family_info.write_lease_us", single_owner)?,
         max_write_duration: single_owner_time(line, "family_info.write_life_us", single_owner)?,
+        proxy_count: 0,
         sole_controller: false,
         health_checks_allowed: line.flag("ceilings.probes")?,
         delisted_may_serve: optional_flag(line, "rules.removal_not_binding")?,
--- a/crates/railhub-controller/src/settings.rs
+++ b/crates/railhub-controller/src/settings.rs
@@ -131,6 +131,7 @@
         single_owner: controller.flag("single_owner", false)?,
         write_lease: limits.in_range("write_lease", 10.0, 0.0, 3600.0)?,
         max_write_duration: limits.in_range("write_life", 10.0, 0.0, 3600.0)?,
+        proxy_count: 0,
         sole_controller: false,
         health_checks_allowed: controller.flag("probes", true)?,
         delisted_may_serve: !controller.flag("removal_binds", true)?,
--- a/crates/railhub-platform/src/wire/configuration.rs
+++ b/crates/railhub-platform/src/wire/configuration.rs
@@ -50,6 +50,9 @@
 #[derive(Deserialize)]
 struct FamilySection {
     backlog: f64,
+    /// Number of proxies.
+    #[serde(default)]
+    data_plane_size: u32,
     envelope: f64,
     exclusive: bool,
     first_wait: f64,
@@ -172,6 +175,7 @@
             family.write_life_us,
             "settings.family_info.write_life_us",
         )?,
+        proxy_count: family.data_plane_size,
         sole_controller: settings.balancers == Some(1),
         health_checks_allowed: ceilings.probes,
         delisted_may_serve: rules.removal_not_binding,
--- a/crates/railhub-platform/tests/single_owner_model/node.rs
+++ b/crates/railhub-platform/tests/single_owner_model/node.rs
@@ -11,6 +11,7 @@
     let mut file: serde_json::Value = serde_json::from_str(CONFIG_JSON).expect("the file is JSON");
     let settings = &mut file["settings"];
     settings["balancers"] = controllers.into();
+    settings["family_info"]["data_plane_size"] = crate::world::PROXIES.into();
     settings["ceilings"]["probes"] = false.into();
     settings["family_info"]["exclusive"] = true.into();
     settings["family_info"]["write_lease_us"] = ((crate::proxies::WRITE_LEASE * 1e6) as u64).into();
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -129,6 +129,9 @@
         for event in &batch.proxy_streams {
             self.apply_proxy_stream(event, batch);
         }
+        if batch.observation == Observation::Resumed {
+            self.apply_unseen_disconnections(now);
+        }
         for ack in &batch.barrier_acks {
             self.apply_barrier_ack(now, ack);
         }
@@ -151,9 +154,8 @@
     /// Returns whether the batch is a tick: the first batch is, and every batch with an expired timer.
     fn start_batch(&mut self, batch: &EventBatch) -> bool {
         let is_first = !self.is_started;
-        // Proxies that this controller never met, or that connected and disconnected unseen, may still write according to
-        // the tables that they have.
-        if is_first || batch.observation == Observation::Resumed {
+        // Proxies that were connected before a restart of the controller may still write according to their old tables.
+        if is_first {
             self.last_disconnect_at = batch.now;
         }
         self.is_started = true;
@@ -299,6 +301,16 @@
         self.publisher.await_cleared_tables(proxy, batch.observation);
     }
 
+    /// After an interruption of the observation: a proxy that is not connected may have connected and disconnected
+    /// meanwhile, and continue to write according to the tables that it has.
+    fn apply_unseen_disconnections(&mut self, now: Seconds) {
+        let are_all_connected =
+            self.config.proxy_count > 0 && self.proxies.len() >= self.config.proxy_count as usize;
+        if !are_all_connected {
+            self.last_disconnect_at = now;
+        }
+    }
+
     fn apply_barrier_ack(&mut self, now: Seconds, ack: &BarrierAck) {
         self.publisher.backlog.acknowledge(now, ack.proxy, ack.barrier);
         self.apply_acknowledged_updates(now);
--- a/src/decision/tests/mod.rs
+++ b/src/decision/tests/mod.rs
@@ -77,6 +77,7 @@
         single_owner: false,
         write_lease: 4.0,
         max_write_duration: 3.0,
+        proxy_count: 0,
         sole_controller: false,
         health_checks_allowed: true,
         delisted_may_serve: true,
--- a/src/decision/tests/single_owner.rs
+++ b/src/decision/tests/single_owner.rs
@@ -118,6 +118,17 @@
     assert_eq!(next_owner_published_at(&mut controller, 121.5), 126.5);
 }
 
+/// Guards against waits that grow though nothing is unknown: if all proxies are connected, none can have been missed.
+#[test]
+fn next_owner_does_not_wait_for_unseen_proxies_if_all_are_connected() {
+    let mut controller = controller(ControllerConfig { single_owner: true, proxy_count: 2, ..config() });
+    let resumed = EventBatch { observation: Observation::Resumed, ..tick(119.0) };
+    controller.handle_batch(&resumed, &mut RecordedCommands::default());
+    let barrier = clear_tables(&mut controller, 120.0);
+    controller.handle_batch(&acknowledged(121.0, &[0, 1], barrier), &mut RecordedCommands::default());
+    assert_eq!(next_owner_published_at(&mut controller, 121.5), 124.5);
+}
+
 /// Guards against a proxy that read the store before the tables were cleared, and whose connection is heard of after
 /// the call was accepted: nobody waited for it.
 #[test]
--- a/src/interface/config.rs
+++ b/src/interface/config.rs
@@ -38,6 +38,8 @@
     pub write_lease: Seconds,
     /// Longest duration of a write, in seconds (`single_owner`).
     pub max_write_duration: Seconds,
+    /// Number of proxies, whether connected or not; 0 if it is unknown.
+    pub proxy_count: u32,
     /// No other controller changes the tables of the store.
     pub sole_controller: bool,
     /// The controller may request health checks of hosts.
