--- a/crates/railhub-platform/tests/controller/interruptions.rs
+++ b/crates/railhub-platform/tests/controller/interruptions.rs
@@ -251,17 +251,23 @@
     assert!(!names_owner(&calls), "{calls}");
 }
 
+/// A controller whose subscription has ended after this snapshot.
+fn interrupted_after(config: &NodeConfig, snapshot: &[RelayEvent]) -> TestController {
+    let mut controller = TestController::new(config);
+    send_snapshot(&mut controller, START, snapshot);
+    accept_all_calls(&mut controller, START);
+    let subscription = controller.subscription;
+    controller.on_subscription_ended(subscription);
+    controller
+}
+
 /// Guards against a command that was accepted while the slice was assigned elsewhere, so that it had no effect, and that
 /// counts as part of the next snapshot.
 #[test]
 fn table_command_accepted_during_an_interruption_requires_a_later_snapshot() {
     let config = single_owner_config(1);
-    let mut controller = TestController::new(&config);
     let snapshot = [joined(1), assigned(3), stored(3, 1)];
-    send_snapshot(&mut controller, START, &snapshot);
-    accept_all_calls(&mut controller, START);
-    let subscription = controller.subscription;
-    controller.on_subscription_ended(subscription);
+    let mut controller = interrupted_after(&config, &snapshot);
     controller.request_subscription();
     controller.on_endpoint_page(START + 10.0, &list_with_draining_host(&config));
     assert!(accept_all_calls(&mut controller, START + 10.0).contains(r#""server":"s-1","weight":0.0"#));
@@ -294,12 +300,8 @@
 #[test]
 fn table_command_in_flight_at_the_end_of_a_snapshot_requires_a_later_one() {
     let config = single_owner_config(1);
-    let mut controller = TestController::new(&config);
     let snapshot = [joined(1), assigned(3), stored(3, 1)];
-    send_snapshot(&mut controller, START, &snapshot);
-    accept_all_calls(&mut controller, START);
-    let subscription = controller.subscription;
-    controller.on_subscription_ended(subscription);
+    let mut controller = interrupted_after(&config, &snapshot);
     controller.on_endpoint_page(START + 10.0, &list_with_draining_host(&config));
     controller.poll(START + 10.0);
     let call = controller.next_call().expect("the table is cleared");
--- a/src/decision/tests/single_owner.rs
+++ b/src/decision/tests/single_owner.rs
@@ -105,6 +105,13 @@
     commands.barriers.last().copied()
 }
 
+/// Ticks once a second.
+fn assert_no_owner_is_named(controller: &mut Controller, seconds: std::ops::Range<u32>) {
+    for second in seconds {
+        barrier_after(controller, &tick(f64::from(second)));
+    }
+}
+
 /// Guards against review/7: a proxy that connected and disconnected while the observation was interrupted went on
 /// writing to the former owner when the next one was named.
 #[test]
@@ -136,7 +143,7 @@
     let (mut controller, _) = with_cleared_tables();
     let next = barrier_after(&mut controller, &connected(120.2, 2)).expect("a barrier for the new proxy");
     controller.handle_batch(&acknowledged(121.0, &[0, 1], next), &mut RecordedCommands::default());
-    (122..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    assert_no_owner_is_named(&mut controller, 122..130);
     controller.handle_batch(&acknowledged(130.0, &[2], next), &mut RecordedCommands::default());
     assert_eq!(next_owner_published_at(&mut controller, 130.5), 133.5);
 }
@@ -162,7 +169,7 @@
     let resumed = EventBatch { observation: Observation::Resumed, ..connected(121.1, 2) };
     let next =
         barrier_after(&mut controller, &resumed).or(Some(BarrierId(barrier.0 + 1))).expect("a barrier");
-    (122..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    assert_no_owner_is_named(&mut controller, 122..130);
     controller.handle_batch(&acknowledged(130.0, &[0, 1, 2], next), &mut RecordedCommands::default());
     assert_eq!(next_owner_published_at(&mut controller, 130.5), 133.5);
 }
@@ -175,7 +182,7 @@
         controller.handle_batch(&disconnected(110.0, proxy), &mut RecordedCommands::default());
     }
     clear_tables(&mut controller, 120.0);
-    (121..130).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    assert_no_owner_is_named(&mut controller, 121..130);
     let barrier = barrier_after(&mut controller, &connected(130.0, 2)).expect("a barrier");
     controller.handle_batch(&acknowledged(131.0, &[2], barrier), &mut RecordedCommands::default());
     assert_eq!(next_owner_published_at(&mut controller, 131.5), 134.5);
@@ -192,7 +199,7 @@
     let resumed = EventBatch { observation: Observation::Resumed, ..connected(121.1, 2) };
     let next = barrier_after(&mut controller, &resumed).expect("a barrier for the new proxy");
     controller.handle_batch(&acknowledged(122.0, &[0, 1], next), &mut RecordedCommands::default());
-    (123..140).for_each(|now| drop(barrier_after(&mut controller, &tick(f64::from(now)))));
+    assert_no_owner_is_named(&mut controller, 123..140);
 }
 
 /// Guards against a lease that is not counted because the connection of the proxy was never heard of.
